--- /dev/null
+++ b/pistachiohaven/__init__.py
@@ -0,0 +1,1 @@
+"""Schedule requests across unlike engines."""
--- /dev/null
+++ b/pistachiohaven/bootstrap.py
@@ -0,0 +1,31 @@
+"""Start one process of the system from its settings file."""
+
+import trio
+
+from pistachiohaven.config import EntrySettings, SidecarSettings, load
+from pistachiohaven.helpers import log_to
+
+
+def start_entry(path: str) -> None:
+    """Run an entry until it has drained."""
+    from pistachiohaven.components.entry._daemon import run_entry  # noqa: PLC0415
+
+    settings = load(path, EntrySettings)
+    log_to()
+    trio.run(run_entry, settings)
+
+
+def start_sidecar(path: str) -> None:
+    """Run a sidecar until it has drained."""
+    from pistachiohaven.components.sidecar._daemon import run_sidecar  # noqa: PLC0415
+
+    settings = load(path, SidecarSettings)
+    log_to()
+    trio.run(run_sidecar, settings)
+
+
+def start_stand_in(kind: str, path: str) -> None:
+    """Run a stand-in until it is killed."""
+    from pistachiohaven.components.stand_in import runner  # noqa: PLC0415
+
+    runner.run(kind, path)
--- /dev/null
+++ b/pistachiohaven/components/__init__.py
@@ -0,0 +1,1 @@
+"""Hold the parts of the scheduler, one folder each."""
--- /dev/null
+++ b/pistachiohaven/components/admission/_core.py
@@ -0,0 +1,352 @@
+"""Decide what runs on one target, what waits and what is refused."""
+
+from dataclasses import dataclass
+
+from pistachiohaven.const import MS_PER_S, NO_RANK, TIER_COUNT
+from pistachiohaven.core import Reason, Work
+from pistachiohaven.helpers import Ewma
+
+from ._limit import EngineLimit
+from ._queue import TierQueue, Waiting, cost_tokens
+from .const import (
+    MAX_QUEUED,
+    PREEMPT_HOLD_MS,
+    PREEMPT_WAIT_MAX_MS,
+    PREEMPT_WAIT_SHARE,
+    RATE_SAMPLE_MS,
+    RATE_SMOOTHING,
+    RETRY_AFTER_MAX_MS,
+    RETRY_AFTER_MIN_MS,
+    SHED_HOLD_MS,
+)
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class Dispatch:
+    """Hand the request to the target now."""
+
+    work: Work
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class Refuse:
+    """Refuse an undispatched request for good."""
+
+    work: Work
+    reason: Reason
+    retry_after_ms: int
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class Preempt:
+    """Cancel a running request; `wasted_tokens` is the prefill it loses."""
+
+    work: Work
+    wasted_tokens: int
+
+
+Effect = Dispatch | Refuse | Preempt
+
+
+@dataclass(slots=True, kw_only=True)
+class Running:
+    """Hold one dispatched request; times are monotonic milliseconds."""
+
+    work: Work
+    dispatched_ms: int
+    first_byte_ms: int | None = None
+
+    @property
+    def prefill_tokens(self) -> int:
+        """Return the tokens of this request still being prefilled."""
+        return self.work.prefill_tokens if self.first_byte_ms is None else 0
+
+
+class Admission:
+    """Keep the target's own queue short and hold the rest by tier.
+
+    Whenever a request is refused for lack of room, no less urgent work is left in
+    hand: it has been evicted, preempted, or, where it may not be cancelled, the more
+    urgent request was dispatched beyond the limit instead.
+    """
+
+    def __init__(self, *, limit: EngineLimit | None = None) -> None:
+        self.limit = limit or EngineLimit()
+        self.queue = TierQueue()
+        self.running: dict[str, Running] = {}
+        self._rate = Ewma(share=RATE_SMOOTHING)
+        self._rate_from_ms: int | None = None
+        self._done_tokens = 0
+        self._held_until_ms = [0] * TIER_COUNT
+        self._shed_until_ms = [0] * TIER_COUNT
+
+    # What is in hand
+
+    def in_hand(self) -> int:
+        """Return the number of requests waiting or running."""
+        return len(self.queue) + len(self.running)
+
+    def lowest_rank(self) -> int:
+        """Return the least urgent rank in hand, or `NO_RANK` if idle."""
+        ranks = [item.work.rank for item in self.running.values()]
+        ranks += [item.work.rank for item in self.queue]
+        return max(ranks, default=NO_RANK)
+
+    def backlog_by_rank(self) -> tuple[int, ...]:
+        """Return the tokens waiting and running, for each rank."""
+        totals = [0] * TIER_COUNT
+        for running in self.running.values():
+            totals[running.work.rank] += cost_tokens(running.work)
+        for waiting in self.queue:
+            totals[waiting.work.rank] += cost_tokens(waiting.work)
+        return tuple(totals)
+
+    def tokens_per_s(self) -> float:
+        """Return the learnt rate at which this target finishes tokens; 0 unknown."""
+        return self._rate.get(0.0) * MS_PER_S
+
+    # Events
+
+    def offer(self, work: Work, *, now_ms: int) -> list[Effect]:
+        """Take in a new request and return what follows from it."""
+        if now_ms < self._shed_until_ms[work.rank]:
+            return [*self._shed(work, now_ms)]
+        crowded = len(self.queue) >= MAX_QUEUED
+        late = self._wait_ms(work) > work.max_queue_ms
+        if not crowded and not late:
+            self.queue.push(work, now_ms=now_ms)
+            return self._fill(now_ms)
+        if self._lower_running(work.rank):
+            self.queue.push(work, now_ms=now_ms)
+            effects = self._start_head(now_ms, force=True)
+            return effects + self._fill(now_ms)
+        displaced = self._displaced_by(work) if not late else None
+        if displaced is not None:
+            effects = [displaced]
+            self.queue.push(work, now_ms=now_ms)
+            return effects + self._fill(now_ms)
+        return [*self._shed(work, now_ms)]
+
+    def withdraw(self, request_id: str) -> bool:
+        """Take back an undispatched request; return False if it is not waiting."""
+        waiting = self.queue.get(request_id)
+        if waiting is None:
+            return False
+        self.queue.remove(waiting)
+        return True
+
+    def first_byte(self, request_id: str, *, now_ms: int) -> list[Effect]:
+        """Take in that the answer of a running request began."""
+        running = self.running.get(request_id)
+        if running is None or running.first_byte_ms is not None:
+            return []
+        in_use = self._prefill_used(TIER_COUNT)
+        running.first_byte_ms = now_ms
+        self.limit.first_token(
+            waited_ms=now_ms - running.dispatched_ms,
+            prompt_tokens=running.work.prefill_tokens,
+            prefill_used=in_use,
+            now_ms=now_ms,
+        )
+        return self._fill(now_ms)
+
+    def ended(
+        self, request_id: str, *, tokens: int, whole: bool, now_ms: int
+    ) -> list[Effect]:
+        """Take in that a running request ended after `tokens` answer tokens."""
+        running = self.running.get(request_id)
+        if running is None:
+            return []
+        if whole:
+            self._learn(running, tokens=tokens, now_ms=now_ms)
+        del self.running[request_id]
+        return self._fill(now_ms)
+
+    def tick(self, *, now_ms: int) -> list[Effect]:
+        """Act on the waits that ended by now."""
+        effects: list[Effect] = []
+        for waiting in sorted(self.queue, key=lambda item: item.work.rank):
+            if self.queue.get(waiting.work.request_id) is not waiting:
+                continue
+            if now_ms >= waiting.deadline_ms:
+                effects += self._at_deadline(waiting, now_ms)
+            elif now_ms >= _preempt_at_ms(waiting):
+                effects += self._press(waiting, now_ms)
+        return effects + self._fill(now_ms)
+
+    def next_wakeup_ms(self, *, now_ms: int) -> int | None:
+        """Return when `tick` should be called next, or None."""
+        moments = [item.deadline_ms for item in self.queue]
+        moments += [_preempt_at_ms(item) for item in self.queue]
+        moments += self._held_until_ms if self.queue else []
+        return min((item for item in moments if item > now_ms), default=None)
+
+    # Dispatching
+
+    def _fill(self, now_ms: int) -> list[Effect]:
+        """Dispatch waiting work, most urgent first, while it fits."""
+        effects: list[Effect] = []
+        while (waiting := self._next_fitting(now_ms)) is not None:
+            effects.append(self._dispatch(waiting, now_ms))
+        return effects
+
+    def _next_fitting(self, now_ms: int) -> Waiting | None:
+        """Return the most urgent waiting request if it fits.
+
+        Less urgent work never passes more urgent work that waits for room.
+        """
+        head = next(self.queue.heads(), None)
+        if head is None or now_ms < self._held_until_ms[head.work.rank]:
+            return None
+        return head if self._fits(head.work, up_to_rank=TIER_COUNT) else None
+
+    def _dispatch(self, waiting: Waiting, now_ms: int) -> Dispatch:
+        self.queue.take(waiting)
+        work = waiting.work
+        if not self.running:
+            self._rate_from_ms = now_ms
+        self.running[work.request_id] = Running(work=work, dispatched_ms=now_ms)
+        return Dispatch(work=work)
+
+    def _fits(self, work: Work, *, up_to_rank: int) -> bool:
+        """Return True if `work` fits beside running work up to `up_to_rank`."""
+        return self.limit.allows(
+            prefill_used=self._prefill_used(up_to_rank),
+            decode_used=self._decode_used(up_to_rank),
+            prefill=work.prefill_tokens,
+            decode=work.decode_tokens,
+        )
+
+    def _prefill_used(self, up_to_rank: int) -> int:
+        return sum(
+            item.prefill_tokens
+            for item in self.running.values()
+            if item.work.rank <= up_to_rank
+        )
+
+    def _decode_used(self, up_to_rank: int) -> int:
+        return sum(
+            item.work.decode_tokens
+            for item in self.running.values()
+            if item.work.rank <= up_to_rank
+        )
+
+    # Shedding
+
+    def _displaced_by(self, work: Work) -> Refuse | None:
+        """Refuse the waiting request that `work` may take the place of, if any."""
+        lower = self.queue.below(work.rank)
+        if lower:
+            return self._refuse(lower[0], Reason.EVICTED)
+        greedy = self.queue.largest_share(work.rank)
+        if greedy is None or greedy.work.organisation == work.organisation:
+            return None
+        return self._refuse(greedy, Reason.OVERLOAD)
+
+    def _at_deadline(self, waiting: Waiting, now_ms: int) -> list[Effect]:
+        """Settle a request that has waited as long as it may."""
+        rank = waiting.work.rank
+        if self._lower_running(rank):
+            return self._start(waiting, now_ms, force=True)
+        expired = self._refuse(waiting, Reason.QUEUE_DEADLINE)
+        return [*self._evict_below(rank, now_ms), expired]
+
+    def _press(self, waiting: Waiting, now_ms: int) -> list[Effect]:
+        """Start the head of the queue because `waiting` has waited for long."""
+        if not self._lower_running(waiting.work.rank):
+            return []
+        return self._start_head(now_ms, force=False)
+
+    def _start_head(self, now_ms: int, *, force: bool) -> list[Effect]:
+        """Start the next request at the cost of less urgent running work."""
+        head = next(self.queue.heads(), None)
+        return [] if head is None else self._start(head, now_ms, force=force)
+
+    def _start(self, waiting: Waiting, now_ms: int, *, force: bool) -> list[Effect]:
+        """Cancel less urgent work until `waiting` fits, then dispatch it.
+
+        With `force` it is dispatched even if what is left may not be cancelled.
+        """
+        work = waiting.work
+        effects: list[Effect] = []
+        for victim in self._victims(work.rank):
+            if self._fits(work, up_to_rank=TIER_COUNT):
+                break
+            effects.append(self._preempt(victim, now_ms))
+        if force or self._fits(work, up_to_rank=work.rank):
+            effects.append(self._dispatch(waiting, now_ms))
+        return effects
+
+    def _victims(self, rank: int) -> list[Running]:
+        """Return running work that may be cancelled for `rank`, cheapest first."""
+        lower = [
+            item
+            for item in self.running.values()
+            if item.work.rank > rank and item.work.idempotent
+        ]
+        return sorted(
+            lower, key=lambda item: (-item.work.rank, item.work.prefill_tokens)
+        )
+
+    def _preempt(self, victim: Running, now_ms: int) -> Preempt:
+        work = victim.work
+        del self.running[work.request_id]
+        for rank in range(work.rank, TIER_COUNT):
+            self._held_until_ms[rank] = now_ms + PREEMPT_HOLD_MS
+        return Preempt(work=work, wasted_tokens=work.prefill_tokens)
+
+    def _lower_running(self, rank: int) -> bool:
+        return any(item.work.rank > rank for item in self.running.values())
+
+    def _shed(self, work: Work, now_ms: int) -> list[Refuse]:
+        """Refuse `work` and all waiting work less urgent."""
+        evicted = self._evict_below(work.rank, now_ms)
+        return [*evicted, self._refusal(work, Reason.OVERLOAD)]
+
+    def _evict_below(self, rank: int, now_ms: int) -> list[Refuse]:
+        """Refuse all waiting work less urgent than `rank`, and more for a while."""
+        for lower in range(rank + 1, TIER_COUNT):
+            self._shed_until_ms[lower] = now_ms + SHED_HOLD_MS
+        return [
+            self._refuse(waiting, Reason.EVICTED) for waiting in self.queue.below(rank)
+        ]
+
+    def _refuse(self, waiting: Waiting, reason: Reason) -> Refuse:
+        self.queue.remove(waiting)
+        return self._refusal(waiting.work, reason)
+
+    def _refusal(self, work: Work, reason: Reason) -> Refuse:
+        wait_ms = int(self._wait_ms(work))
+        bounded = min(max(wait_ms, RETRY_AFTER_MIN_MS), RETRY_AFTER_MAX_MS)
+        return Refuse(work=work, reason=reason, retry_after_ms=bounded)
+
+    # Learning
+
+    def _wait_ms(self, work: Work) -> float:
+        """Predict how long `work` would wait if it came now; 0 while unknown."""
+        rate = self._rate.value
+        if rate is None or rate <= 0 or not self.running:
+            return 0.0
+        return self.queue.tokens_ahead(work) / rate
+
+    def _learn(self, running: Running, *, tokens: int, now_ms: int) -> None:
+        """Learn from a whole answer."""
+        if running.first_byte_ms is not None and tokens > 1:
+            gap_ms = (now_ms - running.first_byte_ms) / (tokens - 1)
+            in_use = self._decode_used(TIER_COUNT)
+            self.limit.token_gap(gap_ms=gap_ms, decode_used=in_use, now_ms=now_ms)
+        self._done_tokens += cost_tokens(running.work)
+        start_ms = running.dispatched_ms
+        if self._rate_from_ms is None:
+            self._rate_from_ms = start_ms
+        elapsed_ms = now_ms - self._rate_from_ms
+        if elapsed_ms >= RATE_SAMPLE_MS:
+            self._rate.add(self._done_tokens / elapsed_ms)
+            self._done_tokens = 0
+            self._rate_from_ms = now_ms
+
+
+def _preempt_at_ms(waiting: Waiting) -> int:
+    """Return when a waiting request may cost less urgent work its place."""
+    share_ms = int(waiting.work.max_queue_ms * PREEMPT_WAIT_SHARE)
+    return waiting.arrived_ms + min(share_ms, PREEMPT_WAIT_MAX_MS)
--- /dev/null
+++ b/pistachiohaven/components/cli/_commands.py
@@ -0,0 +1,74 @@
+"""Define one method for each command; fire turns them into a command line."""
+
+import sys
+from pathlib import Path
+
+from result import Err
+
+from pistachiohaven import bootstrap
+from pistachiohaven.components.settings import (
+    Leaf,
+    Tree,
+    explain,
+    leaf_paths,
+    parse_tree,
+    resolve,
+)
+from pistachiohaven.exceptions import SettingsError
+
+
+class Commands:
+    """Schedule requests across unlike engines."""
+
+    def entry(self, *, settings: str) -> None:
+        """Run an entry with the settings file SETTINGS."""
+        bootstrap.start_entry(settings)
+
+    def sidecar(self, *, settings: str) -> None:
+        """Run a sidecar with the settings file SETTINGS."""
+        bootstrap.start_sidecar(settings)
+
+    def stand_in(self, kind: str, *, settings: str) -> None:
+        """Run a stand-in: platform, engine or service."""
+        bootstrap.start_stand_in(kind, settings)
+
+    def check(self, *files: str) -> None:
+        """Check settings trees and print their leaves, or every fault."""
+        faulty = False
+        for file in files:
+            try:
+                tree = _read_tree(file)
+            except SettingsError as error:
+                sys.stderr.write(f"{error}\n")
+                faulty = True
+                continue
+            for path in leaf_paths(tree):
+                sys.stdout.write(_line(resolve(tree, path)))
+        if faulty:
+            sys.exit(1)
+
+    def explain(self, file: str, path: str) -> None:
+        """Print the leaf PATH (organisation/application/tier) and where it is from."""
+        tree = _read_tree(file)
+        if resolve(tree, path) is None:
+            raise SettingsError(f"{file}:1: {path}: no such leaf")
+        for origin in explain(tree, path):
+            sys.stdout.write(f"{origin.name} = {origin.value}  from {origin.path}\n")
+
+
+def _read_tree(file: str) -> Tree:
+    """Return the tree in `file`; SettingsError names every fault."""
+    try:
+        text = Path(file).read_text(encoding="utf-8")
+    except (OSError, UnicodeDecodeError) as error:
+        raise SettingsError(f"{file}:1: (file): {error}") from error
+    parsed = parse_tree(text)
+    if isinstance(parsed, Err):
+        faults = parsed.err_value
+        raise SettingsError("\n".join(fault.text(file) for fault in faults))
+    return parsed.ok_value
+
+
+def _line(leaf: Leaf | None) -> str:
+    """Return one line that shows a resolved leaf."""
+    return "" if leaf is None else f"{leaf}\n"
--- /dev/null
+++ b/pistachiohaven/components/dispatch/__init__.py
@@ -0,0 +1,27 @@
+"""Dispatch every request at most once."""
+
+from ._home import Claim, Grant, KeyHome, Release
+from ._keys import Key, PlainKey, Ticket, make_ticket, parse_key
+from ._record import DispatchRecord, Entry, Fresh, Gone, Known, Stage, Verdict
+from .const import FIRST_ATTEMPT, NOBODY
+
+__all__ = [
+    "FIRST_ATTEMPT",
+    "NOBODY",
+    "Claim",
+    "DispatchRecord",
+    "Entry",
+    "Fresh",
+    "Gone",
+    "Grant",
+    "Key",
+    "KeyHome",
+    "Known",
+    "PlainKey",
+    "Release",
+    "Stage",
+    "Ticket",
+    "Verdict",
+    "make_ticket",
+    "parse_key",
+]
--- /dev/null
+++ b/pistachiohaven/components/entry/__init__.py
@@ -0,0 +1,5 @@
+"""Take callers' requests and pick a target for each."""
+
+from ._request import RequestCore
+
+__all__ = ["RequestCore"]
--- /dev/null
+++ b/pistachiohaven/components/entry/_daemon.py
@@ -0,0 +1,53 @@
+"""Run one entry."""
+
+from functools import partial
+
+import trio
+
+from pistachiohaven.components.lifecycle import Lifecycle
+from pistachiohaven.components.node import Node, leave_on_signal
+from pistachiohaven.components.routing import Router
+from pistachiohaven.components.web import listen, serve
+from pistachiohaven.config import EntrySettings
+from pistachiohaven.const import MS_PER_S
+from pistachiohaven.helpers import Clock
+
+from ._app import EntryApp
+from .const import PROBE_INTERVAL_MS, PROBES_AT_ONCE
+
+
+async def run_entry(settings: EntrySettings, *, clock: Clock | None = None) -> None:
+    """Serve callers until told to leave and drained."""
+    listener = listen(settings.listen)
+    async with trio.open_nursery() as nursery:
+        node = Node(settings=settings, lifecycle=Lifecycle(), part="entry", clock=clock)
+        router = Router(entry=settings.name, rng=node.rng)
+        app = EntryApp(node=node, router=router)
+        node.log.info("started", address=listener.address)
+        nursery.start_soon(node.run)
+        nursery.start_soon(
+            partial(node.run_drain, app.in_flight, settings.balancer_lag_ms)
+        )
+        nursery.start_soon(_follow_changes, node, app)
+        nursery.start_soon(_probe, node, router, app)
+        nursery.start_soon(leave_on_signal, node)
+        await serve(app, listener, node.stop)
+        nursery.cancel_scope.cancel()
+
+
+async def _follow_changes(node: Node, app: EntryApp) -> None:
+    """Choose targets anew whenever settings or list change."""
+    while True:
+        changed = node.changed()
+        app.rebuild()
+        await changed.wait()
+
+
+async def _probe(node: Node, router: Router, app: EntryApp) -> None:
+    """Ask targets whose own word is missing or old."""
+    async with trio.open_nursery() as nursery:
+        while True:
+            now_ms = node.clock.now_ms()
+            for view in router.probes_due(now_ms=now_ms, count=PROBES_AT_ONCE):
+                nursery.start_soon(app.probe, view)
+            await trio.sleep(PROBE_INTERVAL_MS / MS_PER_S)
--- /dev/null
+++ b/pistachiohaven/components/entry/_request.py
@@ -0,0 +1,395 @@
+"""Decide, step by step, what one request does next."""
+
+from dataclasses import dataclass
+from functools import singledispatchmethod
+
+from pistachiohaven.components.dispatch import (
+    FIRST_ATTEMPT,
+    NOBODY,
+    Grant,
+    Key,
+    Release,
+    Stage,
+)
+from pistachiohaven.components.peer import StageAnswer
+from pistachiohaven.components.retry import RetryBudgets
+from pistachiohaven.components.routing import Router
+from pistachiohaven.core import NOT_BURIED, Outcome, Reason, Work
+
+from .const import DEFAULT_RETRY_AFTER_MS, MAX_ATTEMPTS
+
+# Actions: what the entry does next for the request.
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class SendClaim:
+    """Ask the home of the key for a grant, giving one back with `release`."""
+
+    sidecar: str
+    incarnation: str
+    released_attempt: int = 0
+    release: Release | None = None
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class SendOffer:
+    """Offer the request to a sidecar."""
+
+    sidecar: str
+    incarnation: str
+    attempt: int
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class SendWithdraw:
+    """Take the offer back, or learn that it was dispatched."""
+
+    sidecar: str
+    incarnation: str
+    attempt: int
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class SendResume:
+    """Ask for the answer of `request_id` from where it broke off."""
+
+    sidecar: str
+    incarnation: str
+    request_id: str
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class Finish:
+    """Tell the caller the outcome."""
+
+    outcome: Outcome
+    reason: Reason | None = None
+    retry_after_ms: int = 0
+
+
+Action = SendClaim | SendOffer | SendWithdraw | SendResume | Finish
+
+# Events: what the entry learnt about the last action.
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class Granted:
+    """The home granted the key."""
+
+    grant: Grant
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class ClaimRefused:
+    """The home refused the claim."""
+
+    reason: Reason
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class ClaimLost:
+    """The home did not answer."""
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class Refused:
+    """The sidecar refused the offer before dispatch."""
+
+    reason: Reason
+    retry_after_ms: int
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class AlreadyKnown:
+    """Another request holds this key at the sidecar."""
+
+    request_id: str
+    stage: Stage
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class NotSent:
+    """No byte of the offer left this process."""
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class Silent:
+    """The sidecar did not answer the offer, or the connection broke."""
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class Staged:
+    """The sidecar said how far the request came; no answer is None."""
+
+    answer: StageAnswer | None
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class AnswerGone:
+    """The request ran, but its answer is no longer kept."""
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class TimeUp:
+    """No byte of the answer came before the deadline."""
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class Whole:
+    """The whole answer came."""
+
+
+Event = (
+    Granted
+    | ClaimRefused
+    | ClaimLost
+    | Refused
+    | AlreadyKnown
+    | NotSent
+    | Silent
+    | Staged
+    | AnswerGone
+    | TimeUp
+    | Whole
+)
+
+
+class RequestCore:
+    """Drive one request to exactly one outcome.
+
+    It goes to another target only after the last one refused for good, confirmed a
+    withdrawal, or was sent nothing. Silence proves nothing.
+    """
+
+    def __init__(
+        self,
+        *,
+        work: Work,
+        key: Key | None,
+        router: Router,
+        budgets: RetryBudgets,
+        first_try: bool = False,
+    ) -> None:
+        self.work = work
+        self._key = key
+        self._router = router
+        self._budgets = budgets
+        self._first_try = first_try
+        self._time_up = False
+        self._tried: list[str] = []
+        self._offer: SendOffer | None = None
+        self._attempts = 0
+        self._released = 0
+        self._last_refusal = Refused(
+            reason=Reason.NO_TARGET, retry_after_ms=DEFAULT_RETRY_AFTER_MS
+        )
+
+    def start(self, *, now_ms: int) -> Action:
+        """Return the first action."""
+        return self._next_target(now_ms=now_ms, release=None)
+
+    @singledispatchmethod
+    def handle(self, event: object, *, now_ms: int) -> Action:
+        """Return the action that follows `event`."""
+        raise TypeError(f"no such event: {event!r}")
+
+    @handle.register
+    def _(self, event: Granted, *, now_ms: int) -> Action:
+        grant = event.grant
+        if grant.sidecar == NOBODY:
+            return self._not_run(self._last_refusal.reason)
+        if self._released == grant.attempt or self._attempts >= 2 * MAX_ATTEMPTS:
+            return Finish(outcome=Outcome.UNKNOWN, reason=self._last_refusal.reason)
+        return self._send_offer(
+            grant.sidecar, grant.incarnation, grant.attempt, now_ms=now_ms
+        )
+
+    @handle.register
+    def _(self, event: ClaimRefused, *, now_ms: int) -> Action:
+        if event.reason is Reason.KEY_FROM_FUTURE:
+            return Finish(outcome=Outcome.NOT_RUN, reason=event.reason)
+        if event.reason is Reason.KEY_REUSED:
+            return Finish(outcome=Outcome.NOT_RUN, reason=event.reason)
+        return self._unclaimed(event.reason)
+
+    @handle.register
+    def _(self, event: ClaimLost, *, now_ms: int) -> Action:
+        return self._unclaimed(Reason.HOME_UNREACHABLE)
+
+    @handle.register
+    def _(self, event: Refused, *, now_ms: int) -> Action:
+        offer = self._current()
+        self._last_refusal = event
+        self._note_refusal(offer, event.reason, now_ms=now_ms)
+        release = Release.REFUSED
+        if self._key is not None and event.reason in NOT_BURIED:
+            release = Release.NOT_SENT
+        return self._next_target(now_ms=now_ms, release=release)
+
+    @handle.register
+    def _(self, event: NotSent, *, now_ms: int) -> Action:
+        offer = self._current()
+        self._suspect(offer.sidecar, now_ms=now_ms)
+        self._last_refusal = Refused(
+            reason=Reason.CONNECT_FAILED, retry_after_ms=DEFAULT_RETRY_AFTER_MS
+        )
+        return self._next_target(now_ms=now_ms, release=Release.NOT_SENT)
+
+    @handle.register
+    def _(self, event: AlreadyKnown, *, now_ms: int) -> Action:
+        offer = self._current()
+        return SendResume(
+            sidecar=offer.sidecar,
+            incarnation=offer.incarnation,
+            request_id=event.request_id,
+        )
+
+    @handle.register
+    def _(self, event: Silent, *, now_ms: int) -> Action:
+        offer = self._current()
+        self._suspect(offer.sidecar, now_ms=now_ms)
+        return SendWithdraw(
+            sidecar=offer.sidecar,
+            incarnation=offer.incarnation,
+            attempt=offer.attempt,
+        )
+
+    @handle.register
+    def _(self, event: Staged, *, now_ms: int) -> Action:
+        answer = event.answer
+        if answer is None or answer.stage is None:
+            return Finish(outcome=Outcome.UNKNOWN, reason=Reason.SIDECAR_LOST)
+        if answer.stage is Stage.REFUSED:
+            reason = answer.reason or Reason.WITHDRAWN
+            refused = Refused(reason=reason, retry_after_ms=DEFAULT_RETRY_AFTER_MS)
+            return self.handle(refused, now_ms=now_ms)
+        if answer.stage is Stage.CUT:
+            return Finish(outcome=Outcome.CUT_AFTER_DISPATCH, reason=answer.reason)
+        if self._time_up and answer.stage is Stage.DISPATCHED:
+            return self._too_late()
+        offer = self._current()
+        return SendResume(
+            sidecar=offer.sidecar,
+            incarnation=offer.incarnation,
+            request_id=answer.request_id,
+        )
+
+    @handle.register
+    def _(self, event: AnswerGone, *, now_ms: int) -> Action:
+        return Finish(outcome=Outcome.CUT_AFTER_DISPATCH, reason=Reason.ANSWER_NOT_KEPT)
+
+    @handle.register
+    def _(self, event: TimeUp, *, now_ms: int) -> Action:
+        self._time_up = True
+        offer = self._current()
+        return SendWithdraw(
+            sidecar=offer.sidecar,
+            incarnation=offer.incarnation,
+            attempt=offer.attempt,
+        )
+
+    @handle.register
+    def _(self, event: Whole, *, now_ms: int) -> Action:
+        return Finish(outcome=Outcome.ANSWERED)
+
+    # Steps
+
+    def _unclaimed(self, reason: Reason) -> Finish:
+        """Finish a keyed request whose home did not settle the key.
+
+        This try sent nothing unless it made an offer; an earlier try may have run.
+        """
+        safe = self._first_try and not self._attempts
+        return Finish(
+            outcome=Outcome.NOT_RUN if safe else Outcome.UNKNOWN,
+            reason=reason,
+            retry_after_ms=DEFAULT_RETRY_AFTER_MS,
+        )
+
+    def _too_late(self) -> Finish:
+        """Finish a dispatched request that is past its deadline."""
+        if self.work.idempotent:
+            return Finish(outcome=Outcome.CUT_AFTER_DISPATCH, reason=Reason.DEADLINE)
+        return Finish(outcome=Outcome.UNKNOWN, reason=Reason.DEADLINE)
+
+    def _next_target(self, *, now_ms: int, release: Release | None) -> Action:
+        """Choose the next target, or give up if there is none to try."""
+        view = self._router.pick(self.work, tried=self._tried, now_ms=now_ms)
+        if self._time_up:
+            return self._give_up(Reason.DEADLINE, release)
+        if view is None:
+            return self._give_up(self._last_refusal.reason, release)
+        if self._attempts >= MAX_ATTEMPTS:
+            return self._give_up(Reason.ATTEMPTS_SPENT, release)
+        lower_work = view.report is not None and self._holds_lower(view.lowest_rank)
+        if self._attempts and not lower_work and not self._spend():
+            return self._give_up(Reason.RETRY_BUDGET, release)
+        name = view.instance.name
+        if self._key is None:
+            attempt = self._attempts + FIRST_ATTEMPT
+            return self._send_offer(name, view.incarnation, attempt, now_ms=now_ms)
+        return self._send_claim(name, view.incarnation, release)
+
+    def _send_claim(
+        self, sidecar: str, incarnation: str, release: Release | None
+    ) -> SendClaim:
+        """Claim the key, giving back the grant of the last offer."""
+        self._released = 0 if self._offer is None else self._offer.attempt
+        return SendClaim(
+            sidecar=sidecar,
+            incarnation=incarnation,
+            released_attempt=self._released,
+            release=release,
+        )
+
+    def _holds_lower(self, lowest_rank: int) -> bool:
+        """Return True if a target holds work less urgent than this request."""
+        return lowest_rank > self.work.rank
+
+    def _spend(self) -> bool:
+        return self._budgets.spend(
+            organisation=self.work.organisation, rank=self.work.rank
+        )
+
+    def _send_offer(
+        self, sidecar: str, incarnation: str, attempt: int, *, now_ms: int
+    ) -> SendOffer:
+        self._attempts += 1
+        self._tried.append(sidecar)
+        self._router.sent(self.work, sidecar, now_ms=now_ms)
+        self._offer = SendOffer(
+            sidecar=sidecar, incarnation=incarnation, attempt=attempt
+        )
+        return self._offer
+
+    def _give_up(self, reason: Reason, release: Release | None) -> Action:
+        """End a request that did not run; a key's home has to agree first."""
+        if self._key is None:
+            return self._not_run(reason)
+        self._last_refusal = Refused(
+            reason=reason, retry_after_ms=self._last_refusal.retry_after_ms
+        )
+        return self._send_claim(NOBODY, "", release)
+
+    def _not_run(self, reason: Reason) -> Finish:
+        """Finish a request that is proved not to have run."""
+        return Finish(
+            outcome=Outcome.NOT_RUN,
+            reason=reason,
+            retry_after_ms=self._last_refusal.retry_after_ms,
+        )
+
+    def _current(self) -> SendOffer:
+        assert self._offer is not None
+        return self._offer
+
+    def _suspect(self, sidecar: str, *, now_ms: int) -> None:
+        view = self._router.view(sidecar)
+        if view is not None:
+            view.suspect(now_ms=now_ms)
+
+    def _note_refusal(self, offer: SendOffer, reason: Reason, *, now_ms: int) -> None:
+        view = self._router.view(offer.sidecar)
+        full = reason in (Reason.OVERLOAD, Reason.EVICTED, Reason.QUEUE_DEADLINE)
+        if view is not None and full:
+            view.refused(rank=self.work.rank, now_ms=now_ms)
--- /dev/null
+++ b/pistachiohaven/components/membership/__init__.py
@@ -0,0 +1,17 @@
+"""Know which instances there are, from the list the platform publishes."""
+
+from ._core import Membership, ReadEffect
+from ._models import ListRead, ListVersion
+from ._subset import choose_subset
+from .const import ROLE_ENTRY, ROLE_SIDECAR, SUBSET_SIZE
+
+__all__ = [
+    "ROLE_ENTRY",
+    "ROLE_SIDECAR",
+    "SUBSET_SIZE",
+    "ListRead",
+    "ListVersion",
+    "Membership",
+    "ReadEffect",
+    "choose_subset",
+]
--- /dev/null
+++ b/pistachiohaven/components/peer/const.py
@@ -0,0 +1,23 @@
+"""Name the paths and headers that the system's own processes use."""
+
+from typing import Final
+
+OFFER_PATH: Final = "/control/offer"
+WITHDRAW_PATH: Final = "/control/withdraw"
+STAGE_PATH: Final = "/control/stage"
+RESUME_PATH: Final = "/control/resume"
+ABANDON_PATH: Final = "/control/abandon"
+CLAIM_PATH: Final = "/control/claim"
+REPORT_PATH: Final = "/control/report"
+SYNC_PATH: Final = "/control/sync"
+
+REPORT_HEADER: Final = "x-report"
+TARGET_STATUS_HEADER: Final = "x-target-status"
+REQUEST_ID_HEADER: Final = "x-request-id"
+
+CONTENT_TYPE: Final = "application/msgpack"
+
+STATUS_DISPATCHED: Final = 200
+STATUS_REFUSED: Final = 409
+STATUS_KNOWN: Final = 208
+STATUS_GONE: Final = 410
--- /dev/null
+++ b/pistachiohaven/components/platform/_client.py
@@ -0,0 +1,66 @@
+"""Ask the platform's service over HTTP."""
+
+from enum import StrEnum
+from typing import TypeVar
+
+import httpcore
+import msgspec
+import trio
+from result import Err, Ok, Result
+
+from pistachiohaven.const import MS_PER_S
+
+from ._models import InstancesAnswer, SettingsAnswer
+from .const import INSTANCES_PATH, READ_TIMEOUT_MS, SETTINGS_PATH
+
+AnswerT = TypeVar("AnswerT", SettingsAnswer, InstancesAnswer)
+
+
+class PlatformError(StrEnum):
+    """Name why a read failed."""
+
+    UNREACHABLE = "unreachable"
+    TIMEOUT = "timeout"
+    BAD_STATUS = "bad_status"
+    BAD_ANSWER = "bad_answer"
+
+
+class PlatformClient:
+    """Read and watch the two published documents."""
+
+    def __init__(self, *, address: str, pool: httpcore.AsyncConnectionPool) -> None:
+        self._base = f"http://{address}"
+        self._pool = pool
+        self.reads = 0
+
+    async def settings(
+        self, *, after: int, wait_ms: int
+    ) -> Result[SettingsAnswer, PlatformError]:
+        """Return the settings, waiting up to `wait_ms` for a revision after `after`."""
+        return await self._read(SETTINGS_PATH, after, wait_ms, SettingsAnswer)
+
+    async def instances(
+        self, *, after: int, wait_ms: int
+    ) -> Result[InstancesAnswer, PlatformError]:
+        """Return list versions after `after`, waiting up to `wait_ms` for one."""
+        return await self._read(INSTANCES_PATH, after, wait_ms, InstancesAnswer)
+
+    async def _read(
+        self, path: str, after: int, wait_ms: int, kind: type[AnswerT]
+    ) -> Result[AnswerT, PlatformError]:
+        url = f"{self._base}{path}?after={after}&wait_ms={wait_ms}"
+        self.reads += 1
+        with trio.move_on_after((wait_ms + READ_TIMEOUT_MS) / MS_PER_S):
+            try:
+                response = await self._pool.request("GET", url)
+            except (httpcore.NetworkError, httpcore.ProtocolError, OSError):
+                return Err(PlatformError.UNREACHABLE)
+            except httpcore.TimeoutException:
+                return Err(PlatformError.TIMEOUT)
+            if response.status != 200:  # noqa: PLR2004
+                return Err(PlatformError.BAD_STATUS)
+            try:
+                return Ok(msgspec.json.decode(response.content, type=kind))
+            except (msgspec.DecodeError, msgspec.ValidationError):
+                return Err(PlatformError.BAD_ANSWER)
+        return Err(PlatformError.TIMEOUT)
--- /dev/null
+++ b/pistachiohaven/components/platform/const.py
@@ -0,0 +1,9 @@
+"""Name the paths of the platform's service."""
+
+from typing import Final
+
+SETTINGS_PATH: Final = "/v1/settings"
+INSTANCES_PATH: Final = "/v1/instances"
+
+READ_TIMEOUT_MS: Final = 3_000
+"""Time a read may take beyond the wait it asked for."""
--- /dev/null
+++ b/pistachiohaven/components/routing/__init__.py
@@ -0,0 +1,23 @@
+"""Route requests over unlike engines."""
+
+from ._core import Router
+from ._policies import (
+    LeastReportedPolicy,
+    Policy,
+    PredictivePolicy,
+    RandomPolicy,
+    RoundRobinPolicy,
+    TwoChoicesPolicy,
+)
+from ._view import TargetView
+
+__all__ = [
+    "LeastReportedPolicy",
+    "Policy",
+    "PredictivePolicy",
+    "RandomPolicy",
+    "RoundRobinPolicy",
+    "Router",
+    "TargetView",
+    "TwoChoicesPolicy",
+]
--- /dev/null
+++ b/pistachiohaven/components/settings/_models.py
@@ -0,0 +1,139 @@
+"""Describe the settings tree: validated at the border, plain data inside."""
+
+from dataclasses import dataclass, fields
+from enum import StrEnum
+from typing import Annotated
+
+from pydantic import BaseModel, ConfigDict, Field, StringConstraints
+
+from pistachiohaven.const import TIER_COUNT
+
+Name = Annotated[str, StringConstraints(pattern=r"^[a-z0-9][a-z0-9._-]{0,63}$")]
+
+
+class PlainKeys(StrEnum):
+    """Say what becomes of an idempotency key that is not a ticket."""
+
+    HOME = "home"
+    REFUSE = "refuse"
+
+
+class OverridesModel(BaseModel):
+    """Check the values one node of the tree sets itself."""
+
+    model_config = ConfigDict(extra="forbid", strict=True)
+
+    rank: int | None = Field(default=None, ge=0, lt=TIER_COUNT)
+    pool: Name | None = None
+    max_queue_ms: int | None = Field(default=None, ge=0, le=600_000)
+    deadline_ms: int | None = Field(default=None, ge=1, le=3_600_000)
+    max_tokens: int | None = Field(default=None, ge=1, le=1_000_000)
+    weight: float | None = Field(default=None, gt=0, le=1000, strict=False)
+    retry_share: float | None = Field(default=None, ge=0, le=1, strict=False)
+    max_body_bytes: int | None = Field(default=None, ge=1, le=1_048_576)
+    plain_keys: PlainKeys | None = Field(default=None, strict=False)
+
+
+class TierModel(BaseModel):
+    """Check one tier, a leaf of the tree."""
+
+    model_config = ConfigDict(extra="forbid", strict=True)
+
+    settings: OverridesModel = Field(default_factory=OverridesModel)
+
+
+class ApplicationModel(BaseModel):
+    """Check one application and its tiers."""
+
+    model_config = ConfigDict(extra="forbid", strict=True)
+
+    settings: OverridesModel = Field(default_factory=OverridesModel)
+    tiers: dict[Name, TierModel] = Field(default_factory=dict)
+
+
+class OrganisationModel(BaseModel):
+    """Check one organisation and its applications."""
+
+    model_config = ConfigDict(extra="forbid", strict=True)
+
+    settings: OverridesModel = Field(default_factory=OverridesModel)
+    applications: dict[Name, ApplicationModel] = Field(default_factory=dict)
+
+
+class TreeModel(BaseModel):
+    """Check a whole settings tree as operators write it."""
+
+    model_config = ConfigDict(extra="forbid", strict=True)
+
+    revision: int = Field(ge=1)
+    settings: OverridesModel = Field(default_factory=OverridesModel)
+    organisations: dict[Name, OrganisationModel] = Field(default_factory=dict)
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class Overrides:
+    """Hold what one node of the tree sets; None means inherited."""
+
+    rank: int | None = None
+    pool: str | None = None
+    max_queue_ms: int | None = None
+    deadline_ms: int | None = None
+    max_tokens: int | None = None
+    weight: float | None = None
+    retry_share: float | None = None
+    max_body_bytes: int | None = None
+    plain_keys: str | None = None
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class Leaf:
+    """Hold the resolved settings of one tier of one application."""
+
+    path: str
+    rank: int
+    pool: str
+    max_queue_ms: int
+    deadline_ms: int
+    max_tokens: int
+    weight: float
+    retry_share: float
+    max_body_bytes: int
+    plain_keys: str
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class Fault:
+    """Name one fault of a settings file by line and key."""
+
+    line: int
+    key: str
+    reason: str
+
+    def text(self, file: str) -> str:
+        """Return the fault as `file:line: key: reason`."""
+        return f"{file}:{self.line}: {self.key}: {self.reason}"
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class Delta:
+    """Carry what changed between two revisions; None removes a node."""
+
+    from_revision: int
+    to_revision: int
+    changes: dict[str, Overrides | None]
+    digest: str
+
+
+DEFAULTS = Overrides(
+    rank=TIER_COUNT - 1,
+    max_queue_ms=2_000,
+    deadline_ms=60_000,
+    max_tokens=1_024,
+    weight=1.0,
+    retry_share=0.2,
+    max_body_bytes=262_144,
+    plain_keys=PlainKeys.HOME.value,
+)
+"""Values in force where no node of the tree sets one."""
+
+OVERRIDE_NAMES = tuple(field.name for field in fields(Overrides))
--- /dev/null
+++ b/pistachiohaven/components/sidecar/_core.py
@@ -0,0 +1,226 @@
+"""Decide everything about the work of one target, without input or output."""
+
+from pistachiohaven.components.admission import (
+    Admission,
+    Dispatch,
+    Preempt,
+    Refuse,
+)
+from pistachiohaven.components.admission import Effect as AdmissionEffect
+from pistachiohaven.components.dispatch import (
+    DispatchRecord,
+    Fresh,
+    Gone,
+    Stage,
+)
+from pistachiohaven.components.lifecycle import Lifecycle
+from pistachiohaven.components.peer import OfferFacts, Report, StageAnswer
+from pistachiohaven.const import CLOCK_SKEW_MS, REQUEST_RETENTION_MS
+from pistachiohaven.core import Outcome, Reason
+
+from ._models import Known
+from .const import MIN_RETRY_AFTER_MS
+
+Effect = AdmissionEffect | Known
+
+OFFER_AGE_MAX_MS = REQUEST_RETENTION_MS - 2 * CLOCK_SKEW_MS
+"""Offers of older requests are refused: their tombstones may be forgotten."""
+
+
+class SidecarCore:
+    """Join phase, dispatch record and admission, so that no two can disagree."""
+
+    def __init__(
+        self, *, name: str, incarnation: str, admission: Admission | None = None
+    ) -> None:
+        self.name = name
+        self.incarnation = incarnation
+        self.lifecycle = Lifecycle()
+        self.record = DispatchRecord()
+        self.admission = admission or Admission()
+        self._offers: dict[str, OfferFacts] = {}
+
+    # Offers and withdrawals
+
+    def offer(self, facts: OfferFacts, *, now_ms: int, wall_ms: int) -> list[Effect]:
+        """Take in one offer; the effects name every request they concern."""
+        if facts.incarnation != self.incarnation:
+            return [self._decline(facts, Reason.WRONG_INCARNATION)]
+        if facts.stamp_ms < wall_ms - OFFER_AGE_MAX_MS:
+            return [self._decline(facts, Reason.OFFER_EXPIRED)]
+        verdict = self.record.judge(
+            dispatch_id=facts.dispatch_id, attempt=facts.attempt
+        )
+        if isinstance(verdict, Gone):
+            return [self._decline(facts, verdict.reason)]
+        if not isinstance(verdict, Fresh):
+            return [
+                Known(
+                    work=facts.work,
+                    request_id=verdict.request_id,
+                    stage=verdict.stage,
+                )
+            ]
+        reason = self.lifecycle.refusal()
+        if reason is not None:
+            self._bury(facts, reason, now_ms=now_ms)
+            return [self._decline(facts, reason)]
+        self.record.admit(
+            dispatch_id=facts.dispatch_id,
+            request_id=facts.work.request_id,
+            attempt=facts.attempt,
+            keyed=facts.keyed,
+        )
+        self._offers[facts.work.request_id] = facts
+        return self._apply(self.admission.offer(facts.work, now_ms=now_ms), now_ms)
+
+    def withdraw(self, facts: OfferFacts, *, now_ms: int) -> StageAnswer:
+        """Take an attempt back for good unless it was dispatched.
+
+        An attempt that never arrived is refused in advance, so a late copy of its
+        offer cannot run.
+        """
+        request_id = facts.work.request_id
+        if facts.incarnation != self.incarnation:
+            return StageAnswer(request_id=request_id, stage=None)
+        entry = self.record.find(facts.dispatch_id)
+        if entry is None or entry.stage is Stage.REFUSED:
+            self._bury(facts, Reason.WITHDRAWN, now_ms=now_ms)
+        elif entry.stage is Stage.QUEUED and entry.request_id == request_id:
+            self.admission.withdraw(request_id)
+            self._bury(facts, Reason.WITHDRAWN, now_ms=now_ms)
+        return self._stage(facts.dispatch_id, request_id)
+
+    def stage(self, facts: OfferFacts) -> StageAnswer:
+        """Say how far a request has come, changing nothing."""
+        if facts.incarnation != self.incarnation:
+            return StageAnswer(request_id=facts.work.request_id, stage=None)
+        return self._stage(facts.dispatch_id, facts.work.request_id)
+
+    def abandon(self, request_id: str, *, now_ms: int) -> list[Effect]:
+        """Cancel a request whose caller left; never a non-idempotent running one."""
+        facts = self._offers.get(request_id)
+        if facts is None:
+            return []
+        if self.admission.withdraw(request_id):
+            self._bury(facts, Reason.CALLER_LEFT, now_ms=now_ms)
+            return []
+        if request_id not in self.admission.running or not facts.work.idempotent:
+            return []
+        cut = Preempt(work=facts.work, wasted_tokens=facts.work.prefill_tokens)
+        effects = self.ended(
+            request_id, tokens=0, cut=Reason.CALLER_LEFT, now_ms=now_ms
+        )
+        return [cut, *effects]
+
+    # Events of running work
+
+    def first_byte(self, request_id: str, *, now_ms: int) -> list[Effect]:
+        """Take in that the answer began."""
+        effects = self.admission.first_byte(request_id, now_ms=now_ms)
+        return self._apply(effects, now_ms)
+
+    def ended(
+        self, request_id: str, *, tokens: int, cut: Reason | None, now_ms: int
+    ) -> list[Effect]:
+        """Take in that the target ended a request; `cut` tells why it is not whole."""
+        facts = self._offers.pop(request_id, None)
+        if facts is None:
+            return []
+        self.record.end(
+            facts.dispatch_id,
+            stage=Stage.FINISHED if cut is None else Stage.CUT,
+            reason=cut,
+            now_ms=now_ms,
+        )
+        effects = self.admission.ended(
+            request_id, tokens=tokens, whole=cut is None, now_ms=now_ms
+        )
+        return self._apply(effects, now_ms)
+
+    def never_sent(self, request_id: str, *, now_ms: int) -> list[Effect]:
+        """Take in that the target could not be reached, so nothing was sent to it."""
+        facts = self._offers.pop(request_id, None)
+        if facts is None:
+            return []
+        reason = Reason.TARGET_UNREACHABLE
+        self.record.never_sent(facts.dispatch_id, reason=reason, now_ms=now_ms)
+        effects = self.admission.ended(request_id, tokens=0, whole=False, now_ms=now_ms)
+        return [self._decline(facts, reason), *self._apply(effects, now_ms)]
+
+    def tick(self, *, now_ms: int) -> list[Effect]:
+        """Act on the time."""
+        return self._apply(self.admission.tick(now_ms=now_ms), now_ms)
+
+    # What others are told
+
+    def report(self, *, revision: int = 0, list_version: int = 0) -> Report:
+        """Return how this sidecar stands."""
+        return Report(
+            name=self.name,
+            incarnation=self.incarnation,
+            phase=self.lifecycle.phase,
+            backlog_by_rank=self.admission.backlog_by_rank(),
+            tokens_per_s=self.admission.tokens_per_s(),
+            prefill_ms_per_token=self.admission.limit.solo_ms_per_token,
+            lowest_rank=self.admission.lowest_rank(),
+            in_hand=self.admission.in_hand(),
+            revision=revision,
+            list_version=list_version,
+        )
+
+    def _apply(self, effects: list[AdmissionEffect], now_ms: int) -> list[Effect]:
+        """Write each effect into the record before anyone acts on it."""
+        for effect in effects:
+            facts = self._offers[effect.work.request_id]
+            if isinstance(effect, Dispatch):
+                self.record.dispatch(facts.dispatch_id)
+            elif isinstance(effect, Refuse):
+                self._bury(facts, effect.reason, now_ms=now_ms)
+            else:
+                self._end_preempted(facts, now_ms)
+        return list(effects)
+
+    def _end_preempted(self, facts: OfferFacts, now_ms: int) -> None:
+        del self._offers[facts.work.request_id]
+        self.record.end(
+            facts.dispatch_id,
+            stage=Stage.CUT,
+            reason=Reason.PREEMPTED,
+            now_ms=now_ms,
+        )
+
+    def _bury(self, facts: OfferFacts, reason: Reason, *, now_ms: int) -> None:
+        """Refuse an attempt and all before it for good."""
+        self._offers.pop(facts.work.request_id, None)
+        self.record.refuse(
+            dispatch_id=facts.dispatch_id,
+            request_id=facts.work.request_id,
+            attempt=facts.attempt,
+            keyed=facts.keyed,
+            reason=reason,
+            now_ms=now_ms,
+        )
+
+    def _stage(self, dispatch_id: str, request_id: str) -> StageAnswer:
+        entry = self.record.find(dispatch_id)
+        if entry is None:
+            return StageAnswer(request_id=request_id, stage=None)
+        return StageAnswer(
+            request_id=entry.request_id, stage=entry.stage, reason=entry.reason
+        )
+
+    @staticmethod
+    def _decline(facts: OfferFacts, reason: Reason) -> Refuse:
+        return Refuse(work=facts.work, reason=reason, retry_after_ms=MIN_RETRY_AFTER_MS)
+
+
+def outcome_of(answer: StageAnswer) -> Outcome | None:
+    """Return what a caller may be told of a stage, or None while it is open."""
+    if answer.stage is Stage.REFUSED:
+        return Outcome.NOT_RUN
+    if answer.stage is Stage.CUT:
+        return Outcome.CUT_AFTER_DISPATCH
+    if answer.stage is Stage.FINISHED:
+        return Outcome.ANSWERED
+    return None
--- /dev/null
+++ b/pistachiohaven/components/sidecar/_daemon.py
@@ -0,0 +1,52 @@
+"""Run one sidecar."""
+
+from functools import partial
+
+import trio
+
+from pistachiohaven.components.dispatch import KeyHome
+from pistachiohaven.components.node import Node, leave_on_signal
+from pistachiohaven.components.target import make_target
+from pistachiohaven.components.web import listen, serve
+from pistachiohaven.config import SidecarSettings
+from pistachiohaven.helpers import Clock
+
+from ._app import SidecarApp
+from ._core import SidecarCore
+from ._runner import Runner
+
+
+async def run_sidecar(settings: SidecarSettings, *, clock: Clock | None = None) -> None:
+    """Serve as the sidecar of one target until told to leave and drained."""
+    core_clock = clock or Clock()
+    listener = listen(settings.listen)
+    async with trio.open_nursery() as nursery:
+        core = SidecarCore(name=settings.name, incarnation="")
+        node = Node(
+            settings=settings,
+            lifecycle=core.lifecycle,
+            part="sidecar",
+            clock=core_clock,
+        )
+        core.incarnation = node.incarnation
+        runner = Runner(
+            core=core,
+            target=make_target(kind=settings.kind, address=settings.target),
+            pool=node.pool,
+            clock=core_clock,
+            log=node.log,
+            nursery=nursery,
+        )
+        home = KeyHome(
+            name=settings.name,
+            incarnation=node.incarnation,
+            started_wall_ms=core_clock.wall_ms(),
+        )
+        app = SidecarApp(core=core, home=home, runner=runner, node=node)
+        node.log.info("started", address=listener.address, target=settings.target)
+        nursery.start_soon(node.run)
+        nursery.start_soon(partial(node.run_drain, core.admission.in_hand))
+        nursery.start_soon(runner.run_timer)
+        nursery.start_soon(leave_on_signal, node)
+        await serve(app, listener, node.stop)
+        nursery.cancel_scope.cancel()
--- /dev/null
+++ b/pistachiohaven/components/sidecar/_metrics.py
@@ -0,0 +1,43 @@
+"""Count what a sidecar does, for Prometheus."""
+
+from prometheus_client import CollectorRegistry, Counter, Gauge
+
+
+class SidecarMetrics:
+    """Hold the counters of one sidecar."""
+
+    def __init__(self) -> None:
+        self.registry = CollectorRegistry()
+        self.refusals = Counter(
+            "sidecar_refusals",
+            "Offers refused before dispatch",
+            ["reason", "rank"],
+            registry=self.registry,
+        )
+        self.dispatches = Counter(
+            "sidecar_dispatches",
+            "Requests handed to the target",
+            ["rank"],
+            registry=self.registry,
+        )
+        self.ends = Counter(
+            "sidecar_ends",
+            "Dispatched requests that ended",
+            ["how", "rank"],
+            registry=self.registry,
+        )
+        self.wasted_prefill = Counter(
+            "sidecar_wasted_prefill_tokens",
+            "Prompt tokens of requests that were cancelled",
+            ["reason"],
+            registry=self.registry,
+        )
+        self.claims = Counter(
+            "sidecar_claims",
+            "Claims of idempotency keys answered",
+            ["answer"],
+            registry=self.registry,
+        )
+        self.in_hand = Gauge(
+            "sidecar_in_hand", "Requests waiting or running", registry=self.registry
+        )
--- /dev/null
+++ b/pistachiohaven/components/stand_in/_service.py
@@ -0,0 +1,51 @@
+"""Stand in for a plain service whose calls may not be repeated."""
+
+import msgspec
+import trio
+
+from pistachiohaven.components.web import (
+    HttpRequest,
+    Receive,
+    Send,
+    listen,
+    send_json,
+    serve,
+)
+from pistachiohaven.components.web.const import OK
+from pistachiohaven.const import MS_PER_S
+
+from ._settings import ServiceSettings
+from ._target import TargetStandIn
+
+
+class ServiceCall(msgspec.Struct, frozen=True):
+    """Hold a call; `job` names what is counted."""
+
+    job: str = ""
+
+
+class ServiceStandIn(TargetStandIn):
+    """Take a while for each call and count it."""
+
+    def __init__(self, *, settings: ServiceSettings) -> None:
+        super().__init__()
+        self._settings = settings
+        self._calls = trio.CapacityLimiter(settings.max_calls)
+
+    async def run_call(
+        self, request: HttpRequest, body: bytes, receive: Receive, send: Send
+    ) -> None:
+        """Run one call."""
+        job = msgspec.json.decode(body, type=ServiceCall).job
+        self.runs.begin(job)
+        async with self._calls:
+            await trio.sleep(self.fault.slow * self._settings.call_ms / MS_PER_S)
+        self.runs.end(job)
+        content = {"job": job, "run": self.runs.begun[job]}
+        await send_json(send, status=OK, content=content)
+
+
+async def run_service(settings: ServiceSettings) -> None:
+    """Serve as a plain service until killed."""
+    stand_in = ServiceStandIn(settings=settings)
+    await serve(stand_in, listen(settings.listen), trio.Event())
--- /dev/null
+++ b/pistachiohaven/components/stand_in/_settings.py
@@ -0,0 +1,60 @@
+"""Check the settings files of the stand-ins."""
+
+from pydantic import BaseModel, ConfigDict, Field
+
+from pistachiohaven.config import Address, Name
+from pistachiohaven.core import TargetKind
+
+
+class InstanceModel(BaseModel):
+    """Check one listed instance."""
+
+    model_config = ConfigDict(extra="forbid", frozen=True)
+
+    name: Name
+    role: str
+    data_centre: Name
+    region: Name
+    address: Address
+    leaving: bool = False
+    kind: TargetKind = TargetKind.ENGINE
+    pools: tuple[Name, ...] = ()
+    generation: int = Field(default=1, ge=1)
+
+
+class PlatformSettings(BaseModel):
+    """Check the settings of the platform's stand-in.
+
+    `tree` is the path of a settings tree. `listed_before_ms` dates the first list
+    back, as if the instances had been there for that long.
+    """
+
+    model_config = ConfigDict(extra="forbid", frozen=True)
+
+    listen: Address
+    tree: str
+    instances: tuple[InstanceModel, ...]
+    listed_before_ms: int = Field(default=120_000, ge=0)
+
+
+class EngineSettings(BaseModel):
+    """Check the settings of the stand-in of a model engine."""
+
+    model_config = ConfigDict(extra="forbid", frozen=True)
+
+    listen: Address
+    prefill_tokens_per_s: float = Field(default=20_000, gt=0)
+    token_ms: float = Field(default=10, ge=0)
+    token_ms_per_stream: float = Field(default=0.5, ge=0)
+    max_batch: int = Field(default=16, ge=1)
+    cache_prefixes: int = Field(default=64, ge=0)
+
+
+class ServiceSettings(BaseModel):
+    """Check the settings of the stand-in of a plain service."""
+
+    model_config = ConfigDict(extra="forbid", frozen=True)
+
+    listen: Address
+    call_ms: float = Field(default=20, ge=0)
+    max_calls: int = Field(default=8, ge=1)
--- /dev/null
+++ b/pistachiohaven/components/web/__init__.py
@@ -0,0 +1,35 @@
+"""Serve and call HTTP through hypercorn and httpcore."""
+
+from ._asgi import (
+    App,
+    BodyError,
+    HttpRequest,
+    Receive,
+    Scope,
+    Send,
+    read_body,
+    send_json,
+    send_reply,
+    start_stream,
+)
+from ._client import CallError, call, make_pool
+from ._serve import Listener, listen, serve
+
+__all__ = [
+    "App",
+    "BodyError",
+    "CallError",
+    "HttpRequest",
+    "Listener",
+    "Receive",
+    "Scope",
+    "Send",
+    "call",
+    "listen",
+    "make_pool",
+    "read_body",
+    "send_json",
+    "send_reply",
+    "serve",
+    "start_stream",
+]
--- /dev/null
+++ b/pistachiohaven/components/web/_client.py
@@ -0,0 +1,68 @@
+"""Call other processes over HTTP."""
+
+from dataclasses import dataclass
+from enum import StrEnum
+
+import httpcore
+import trio
+from result import Err, Ok, Result
+
+from pistachiohaven.const import MS_PER_S
+
+from .const import KEEP_ALIVE_S, MAX_CONNECTIONS
+
+
+class CallError(StrEnum):
+    """Name why a call has no reply."""
+
+    NOT_SENT = "not_sent"
+    """No byte of the call left this process."""
+
+    BROKEN = "broken"
+    TIMEOUT = "timeout"
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class Reply:
+    """Hold a whole reply; header names are lower case."""
+
+    status: int
+    headers: dict[bytes, bytes]
+    body: bytes
+
+
+def make_pool() -> httpcore.AsyncConnectionPool:
+    """Return a pool of kept-alive connections."""
+    return httpcore.AsyncConnectionPool(
+        max_connections=MAX_CONNECTIONS,
+        max_keepalive_connections=MAX_CONNECTIONS,
+        keepalive_expiry=KEEP_ALIVE_S / 2,
+    )
+
+
+async def call(
+    pool: httpcore.AsyncConnectionPool,
+    *,
+    address: str,
+    path: str,
+    body: bytes = b"",
+    method: str = "POST",
+    timeout_ms: int,
+) -> Result[Reply, CallError]:
+    """Send one call and return its whole reply."""
+    headers = [(b"host", address.encode()), (b"content-type", b"application/msgpack")]
+    headers.append((b"content-length", str(len(body)).encode()))
+    with trio.move_on_after(timeout_ms / MS_PER_S):
+        try:
+            response = await pool.request(
+                method, f"http://{address}{path}", headers=headers, content=body
+            )
+        except (httpcore.ConnectError, httpcore.ConnectTimeout):
+            return Err(CallError.NOT_SENT)
+        except (httpcore.NetworkError, httpcore.ProtocolError, OSError):
+            return Err(CallError.BROKEN)
+        except httpcore.TimeoutException:
+            return Err(CallError.TIMEOUT)
+        found = {name.lower(): value for name, value in response.headers}
+        return Ok(Reply(status=response.status, headers=found, body=response.content))
+    return Err(CallError.TIMEOUT)
--- /dev/null
+++ b/pistachiohaven/components/web/_serve.py
@@ -0,0 +1,81 @@
+"""Serve an ASGI application with hypercorn under trio."""
+
+import socket
+from dataclasses import dataclass
+from functools import partial
+from typing import cast
+
+import trio
+from hypercorn.config import Config
+from hypercorn.trio import serve as hypercorn_serve
+from hypercorn.typing import ASGIFramework
+
+from ._asgi import App, Receive, Scope, Send
+from .const import (
+    BACKLOG,
+    KEEP_ALIVE_S,
+    MAX_HEADER_BYTES,
+    MAX_KEEP_ALIVE_REQUESTS,
+    SHUTDOWN_GRACE_S,
+)
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class Listener:
+    """Hold a listening socket and the address it got, `ip:port`."""
+
+    sock: socket.socket
+    address: str
+
+
+def listen(address: str) -> Listener:
+    """Listen on `address`, `ip:port`; port 0 lets the kernel choose."""
+    host, port = address.rsplit(":", 1)
+    sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
+    sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+    sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+    sock.bind((host, int(port)))
+    sock.listen(BACKLOG)
+    sock.setblocking(False)
+    bound_host, bound_port = sock.getsockname()
+    return Listener(sock=sock, address=f"{bound_host}:{bound_port}")
+
+
+def _config(listener: Listener) -> Config:
+    config = Config()
+    config.bind = [f"fd://{listener.sock.detach()}"]
+    config.accesslog = None
+    config.loglevel = "WARNING"
+    config.backlog = BACKLOG
+    config.graceful_timeout = SHUTDOWN_GRACE_S
+    config.keep_alive_timeout = KEEP_ALIVE_S
+    config.keep_alive_max_requests = MAX_KEEP_ALIVE_REQUESTS
+    config.h11_max_incomplete_size = MAX_HEADER_BYTES
+    config.include_server_header = False
+    return config
+
+
+async def serve(app: App, listener: Listener, stop: trio.Event) -> None:
+    """Serve `app` on `listener` until `stop` is set."""
+    await hypercorn_serve(
+        cast(ASGIFramework, partial(_route, app)),
+        _config(listener),
+        shutdown_trigger=partial(_wait, stop),
+        mode="asgi",
+    )
+
+
+async def _route(app: App, scope: Scope, receive: Receive, send: Send) -> None:
+    """Pass HTTP to `app` and answer the server's own start and stop messages."""
+    if scope["type"] == "http":
+        await app(scope, receive, send)
+        return
+    while scope["type"] == "lifespan":
+        message = await receive()
+        await send({"type": message["type"] + ".complete"})
+        if message["type"] == "lifespan.shutdown":
+            return
+
+
+async def _wait(stop: trio.Event) -> None:
+    await stop.wait()
--- /dev/null
+++ b/pistachiohaven/components/web/const.py
@@ -0,0 +1,20 @@
+"""Name the constants of HTTP."""
+
+from typing import Final
+
+OK: Final = 200
+BAD_REQUEST: Final = 400
+NOT_FOUND: Final = 404
+TOO_LARGE: Final = 413
+
+SHUTDOWN_GRACE_S: Final = 2.0
+"""Seconds that connections without a request get to close."""
+
+BACKLOG: Final = 512
+KEEP_ALIVE_S: Final = 60.0
+MAX_CONNECTIONS: Final = 4_096
+MAX_HEADER_BYTES: Final = 16_384
+"""Largest request line and headers together."""
+
+MAX_KEEP_ALIVE_REQUESTS: Final = 1_000_000
+"""Requests after which a connection is closed."""
--- /dev/null
+++ b/pistachiohaven/core.py
@@ -0,0 +1,110 @@
+"""Define the words that every part of the scheduler shares."""
+
+from dataclasses import dataclass
+from enum import StrEnum
+
+
+class Outcome(StrEnum):
+    """Say what became of a request; a caller is told exactly one of these."""
+
+    ANSWERED = "answered"
+    NOT_RUN = "not_run"
+    CUT_AFTER_DISPATCH = "cut_after_dispatch"
+    UNKNOWN = "unknown"
+
+
+class TargetKind(StrEnum):
+    """Tell the kinds of target apart."""
+
+    ENGINE = "engine"
+    SERVICE = "service"
+
+
+class Phase(StrEnum):
+    """Say whether a process takes new work."""
+
+    STARTING = "starting"
+    SERVING = "serving"
+    DRAINING = "draining"
+    STOPPED = "stopped"
+
+
+class Reason(StrEnum):
+    """Name each cause of a refusal, a cut or an unknown outcome."""
+
+    BAD_REQUEST = "bad_request"
+    BODY_TOO_LARGE = "body_too_large"
+    SLOW_SENDER = "slow_sender"
+    UNKNOWN_LEAF = "unknown_leaf"
+    NO_SETTINGS = "no_settings"
+    NO_TARGET = "no_target"
+    OVERLOAD = "overload"
+    EVICTED = "evicted"
+    PREEMPTED = "preempted"
+    QUEUE_DEADLINE = "queue_deadline"
+    DEADLINE = "deadline"
+    DRAINING = "draining"
+    STARTING = "starting"
+    WRONG_INCARNATION = "wrong_incarnation"
+    WITHDRAWN = "withdrawn"
+    TOMBSTONE = "tombstone"
+    DUPLICATE = "duplicate"
+    IN_PROGRESS = "in_progress"
+    ANSWER_NOT_KEPT = "answer_not_kept"
+    KEY_EXPIRED = "key_expired"
+    KEY_FROM_FUTURE = "key_from_future"
+    KEY_NOT_STAMPED = "key_not_stamped"
+    KEY_BEFORE_START = "key_before_start"
+    KEY_REUSED = "key_reused"
+    OFFER_EXPIRED = "offer_expired"
+    HOME_NOT_PROVEN = "home_not_proven"
+    HOME_UNREACHABLE = "home_unreachable"
+    CONNECT_FAILED = "connect_failed"
+    TARGET_FAILED = "target_failed"
+    TARGET_UNREACHABLE = "target_unreachable"
+    SIDECAR_LOST = "sidecar_lost"
+    RETRY_BUDGET = "retry_budget"
+    ATTEMPTS_SPENT = "attempts_spent"
+    CALLER_LEFT = "caller_left"
+
+
+NOT_BURIED = frozenset({Reason.WRONG_INCARNATION, Reason.OFFER_EXPIRED})
+"""Refusals of one copy of an offer that leave other copies of a key's grant alive."""
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class Instance:
+    """Describe one instance of the published list.
+
+    `address` is `ip:port`; `pools` names the models or services it serves.
+    """
+
+    name: str
+    role: str
+    data_centre: str
+    region: str
+    address: str
+    leaving: bool = False
+    kind: TargetKind = TargetKind.ENGINE
+    pools: tuple[str, ...] = ()
+    generation: int = 1
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class Work:
+    """Describe one request as admission and routing see it.
+
+    `rank` 0 is the most urgent; sizes are in tokens; times in milliseconds.
+    """
+
+    request_id: str
+    organisation: str
+    rank: int
+    weight: float
+    pool: str
+    prefill_tokens: int
+    decode_tokens: int
+    idempotent: bool
+    max_queue_ms: int
+    prefix: str = ""
+    key: str = ""
--- /dev/null
+++ b/pistachiohaven/helpers/__init__.py
@@ -0,0 +1,21 @@
+"""Offer the small tools that every part uses."""
+
+from ._clock import Clock
+from ._ewma import Ewma
+from ._hashing import rendezvous_first, rendezvous_order, stable_hash
+from ._ids import make_uuid7, uuid7_stamp_ms
+from ._logs import PartLogger, log_to
+from ._ttl import TtlMap
+
+__all__ = [
+    "Clock",
+    "Ewma",
+    "PartLogger",
+    "TtlMap",
+    "log_to",
+    "make_uuid7",
+    "rendezvous_first",
+    "rendezvous_order",
+    "stable_hash",
+    "uuid7_stamp_ms",
+]
--- /dev/null
+++ b/pistachiohaven/helpers/_clock.py
@@ -0,0 +1,29 @@
+"""Tell the time in whole milliseconds."""
+
+import time
+from collections.abc import Callable
+
+from pistachiohaven.const import MS_PER_S
+
+
+class Clock:
+    """Read a monotonic clock and a wall clock in milliseconds."""
+
+    __slots__ = ("_monotonic_s", "_wall_s")
+
+    def __init__(
+        self,
+        *,
+        monotonic_s: Callable[[], float] = time.monotonic,
+        wall_s: Callable[[], float] = time.time,
+    ) -> None:
+        self._monotonic_s = monotonic_s
+        self._wall_s = wall_s
+
+    def now_ms(self) -> int:
+        """Return the monotonic time, for durations and deadlines."""
+        return int(self._monotonic_s() * MS_PER_S)
+
+    def wall_ms(self) -> int:
+        """Return milliseconds since the Unix epoch, for stamps between nodes."""
+        return int(self._wall_s() * MS_PER_S)
--- /dev/null
+++ b/pistachiohaven/helpers/_ewma.py
@@ -0,0 +1,23 @@
+"""Smooth a series of observations."""
+
+
+class Ewma:
+    """Keep an exponentially weighted mean; None until the first sample."""
+
+    __slots__ = ("_share", "value")
+
+    def __init__(self, *, share: float) -> None:
+        self._share = share
+        self.value: float | None = None
+
+    def add(self, sample: float) -> float:
+        """Take in `sample` and return the new mean."""
+        if self.value is None:
+            self.value = sample
+        else:
+            self.value += self._share * (sample - self.value)
+        return self.value
+
+    def get(self, default: float) -> float:
+        """Return the mean, or `default` before the first sample."""
+        return default if self.value is None else self.value
--- /dev/null
+++ b/pistachiohaven/helpers/_hashing.py
@@ -0,0 +1,20 @@
+"""Hash names to stable numbers and rank candidates by them."""
+
+from collections.abc import Iterable
+
+import xxhash
+
+
+def stable_hash(*parts: str) -> int:
+    """Return a 64-bit hash of `parts` that is the same in every process."""
+    return xxhash.xxh3_64_intdigest("\x1f".join(parts).encode())
+
+
+def rendezvous_order(key: str, names: Iterable[str]) -> list[str]:
+    """Return `names` by falling rendezvous weight for `key`."""
+    return sorted(names, key=lambda name: (stable_hash(key, name), name), reverse=True)
+
+
+def rendezvous_first(key: str, names: Iterable[str]) -> str | None:
+    """Return the name with the highest rendezvous weight, or None if there is none."""
+    return max(names, key=lambda name: (stable_hash(key, name), name), default=None)
--- /dev/null
+++ b/pistachiohaven/helpers/_ttl.py
@@ -0,0 +1,39 @@
+"""Remember values for a bounded time."""
+
+from collections import OrderedDict
+from typing import Generic, TypeVar
+
+ValueT = TypeVar("ValueT")
+
+
+class TtlMap(Generic[ValueT]):
+    """Map keys to values that are forgotten `retention_ms` after they were put."""
+
+    __slots__ = ("_entries", "_retention_ms")
+
+    def __init__(self, *, retention_ms: int) -> None:
+        self._retention_ms = retention_ms
+        self._entries: OrderedDict[str, tuple[int, ValueT]] = OrderedDict()
+
+    def __len__(self) -> int:
+        return len(self._entries)
+
+    def put(self, key: str, value: ValueT, *, now_ms: int) -> None:
+        """Store `value` and start its retention anew."""
+        self.purge(now_ms=now_ms)
+        self._entries[key] = (now_ms, value)
+        self._entries.move_to_end(key)
+
+    def get(self, key: str) -> ValueT | None:
+        """Return the value of `key`, or None if it is not remembered."""
+        entry = self._entries.get(key)
+        return None if entry is None else entry[1]
+
+    def purge(self, *, now_ms: int) -> None:
+        """Forget what is older than the retention."""
+        limit_ms = now_ms - self._retention_ms
+        while self._entries:
+            key, (put_ms, _value) = next(iter(self._entries.items()))
+            if put_ms >= limit_ms:
+                return
+            del self._entries[key]
