Test the core: settings, list history, key homes, admission, histories

Cause: the core had no tests of its own. Found and mended: (1) a settings file with a recursive alias ended in RecursionError; aliases are now refused with their line; (2) the first read of the list did not begin a history, so homes were decided only after the daily purge had set its start by chance.

--- a/pistachiohaven/components/admission/_core.py
+++ b/pistachiohaven/components/admission/_core.py
@@ -91,11 +91,14 @@
         """Return the number of requests waiting or running."""
         return len(self.queue) + len(self.running)
 
+    def in_hand_ranks(self) -> list[int]:
+        """Return the rank of each request in hand."""
+        ranks = [item.work.rank for item in self.running.values()]
+        return ranks + [item.work.rank for item in self.queue]
+
     def lowest_rank(self) -> int:
         """Return the least urgent rank in hand, or `NO_RANK` if idle."""
-        ranks = [item.work.rank for item in self.running.values()]
-        ranks += [item.work.rank for item in self.queue]
-        return max(ranks, default=NO_RANK)
+        return max(self.in_hand_ranks(), default=NO_RANK)
 
     def backlog_by_rank(self) -> tuple[int, ...]:
         """Return the tokens waiting and running, for each rank."""
--- a/pistachiohaven/components/membership/_core.py
+++ b/pistachiohaven/components/membership/_core.py
@@ -65,7 +65,7 @@
         if not fresh:
             self.as_of_ms = read.as_of_ms
             return ReadEffect.SAME
-        joins = fresh[0].version == self.version + 1
+        joins = self.version > 0 and fresh[0].version == self.version + 1
         if not joins and not read.snapshot:
             return ReadEffect.GAP
         if not joins:
@@ -125,4 +125,5 @@
         self._addresses = {
             name: item for name, item in self._addresses.items() if name in self._ring
         }
-        self._known_from_ms = max(self._known_from_ms or 0, limit_ms)
+        if self._known_from_ms is not None:
+            self._known_from_ms = max(self._known_from_ms, limit_ms)
--- a/pistachiohaven/components/settings/_parse.py
+++ b/pistachiohaven/components/settings/_parse.py
@@ -44,6 +44,19 @@
     return faults
 
 
+def _aliases(text: str) -> list[Fault]:
+    """Return a fault for each alias: they can nest without bound."""
+    return [
+        Fault(
+            line=token.start_mark.line + 1,
+            key=f"*{token.value}",
+            reason="aliases are not taken in a settings file",
+        )
+        for token in yaml.scan(text, Loader=yaml.SafeLoader)
+        if isinstance(token, yaml.AliasToken)
+    ]
+
+
 def _line_of(at: Location, lines: dict[Location, int]) -> int:
     """Return the line of the deepest recorded node above `at`."""
     while at and at not in lines:
@@ -62,6 +75,9 @@
 def parse_yaml(text: str, model: type[ModelT]) -> Result[ModelT, list[Fault]]:
     """Check `text` against `model`; every fault names its line and key."""
     try:
+        aliases = _aliases(text)
+        if aliases:
+            return Err(aliases)
         node = yaml.compose(text, Loader=yaml.SafeLoader)
         data = yaml.safe_load(text)
     except (yaml.YAMLError, ValueError, RecursionError) as error:
--- /dev/null
+++ b/tests/__init__.py
@@ -0,0 +1,1 @@
+"""Test the package; the paths mirror its own."""
--- /dev/null
+++ b/tests/components/lifecycle/__init__.py
@@ -0,0 +1,1 @@
+"""Test lifecycle."""
--- /dev/null
+++ b/tests/components/measure/test_once.py
@@ -0,0 +1,45 @@
+"""Test generated histories of faults, and that their check can fail."""
+
+from pistachiohaven.components.dispatch import Claim, Key, KeyHome
+from pistachiohaven.components.dispatch._home import _Claimed
+from pistachiohaven.components.measure._once import run_histories
+from pistachiohaven.core import Reason
+
+HISTORIES = 250
+BROKEN_HISTORIES = 150
+
+
+def test_histories_keep_every_promise() -> None:
+    verdict = run_histories(first_seed=0, count=HISTORIES)
+    assert verdict.broken() == 0, verdict.faults
+    assert verdict.outcomes["answered"] > verdict.outcomes["unknown"]
+    assert verdict.outcomes["not_run"] > 0
+
+
+class CarelessHome(KeyHome):
+    """Move a grant though another request may have used it."""
+
+    @staticmethod
+    def _may_move(claimed: _Claimed, claim: Claim) -> bool:
+        return claim.released_attempt == claimed.grant.attempt
+
+
+class TrustingHome(KeyHome):
+    """Take any key without a record for a new one."""
+
+    def _doubt(self, key: Key, *, wall_ms: int) -> Reason | None:
+        return None
+
+
+def test_check_finds_a_careless_home() -> None:
+    verdict = run_histories(
+        first_seed=0, count=BROKEN_HISTORIES, home_kind=CarelessHome
+    )
+    assert verdict.doubles > 0
+
+
+def test_check_finds_a_home_that_trusts_old_keys() -> None:
+    verdict = run_histories(
+        first_seed=0, count=BROKEN_HISTORIES, home_kind=TrustingHome
+    )
+    assert verdict.doubles > 0
--- /dev/null
+++ b/tests/components/membership/test_core.py
@@ -0,0 +1,109 @@
+"""Test homes drawn from the list's history, and subsets."""
+
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from pistachiohaven.components.membership import (
+    ListRead,
+    ListVersion,
+    Membership,
+    ReadEffect,
+    choose_subset,
+)
+from pistachiohaven.const import HOME_DELAY_MS
+from pistachiohaven.core import Reason
+from tests.work import make_instance
+
+NAMES = [f"s{number}" for number in range(6)]
+START_MS = 1_000_000
+
+
+def read(versions: list[ListVersion], as_of_ms: int, after: int = 0) -> ListRead:
+    known = tuple(
+        item
+        for item in versions
+        if item.version > after and item.published_ms <= as_of_ms
+    )
+    return ListRead(versions=known, as_of_ms=as_of_ms, snapshot=after == 0)
+
+
+def first_version() -> ListVersion:
+    changed = tuple(make_instance(name) for name in NAMES)
+    return ListVersion(version=1, published_ms=START_MS, changed=changed)
+
+
+@settings(max_examples=60, deadline=None)
+@given(
+    steps=st.lists(
+        st.tuples(st.integers(1, 50_000), st.sampled_from(NAMES), st.booleans()),
+        max_size=8,
+    ),
+    reads=st.lists(st.integers(0, 400_000), min_size=1, max_size=6),
+    stamp=st.integers(HOME_DELAY_MS, 400_000),
+)
+def test_nodes_with_different_lists_never_name_different_homes(
+    steps: list[tuple[int, str, bool]], reads: list[int], stamp: int
+) -> None:
+    versions = [first_version()]
+    for pause_ms, name, leaves in steps:
+        last = versions[-1]
+        versions.append(
+            ListVersion(
+                version=last.version + 1,
+                published_ms=last.published_ms + pause_ms,
+                changed=() if leaves else (make_instance(name),),
+                removed=(name,) if leaves else (),
+            )
+        )
+    homes = set()
+    for as_of in reads:
+        node = Membership()
+        node.take_read(read(versions, START_MS + as_of))
+        home = node.home_of(key="org/key", stamp_ms=START_MS + stamp)
+        if home.is_ok():
+            homes.add(home.unwrap().name)
+        else:
+            assert home.unwrap_err() is Reason.HOME_NOT_PROVEN
+    assert len(homes) <= 1
+
+
+def test_home_is_refused_beyond_what_is_known() -> None:
+    node = Membership()
+    node.take_read(read([first_version()], START_MS + 5_000))
+    known_ms = START_MS + 4_999 + HOME_DELAY_MS
+    assert node.home_of(key="k", stamp_ms=known_ms).is_ok()
+    assert node.home_of(key="k", stamp_ms=known_ms + 1).is_err()
+    assert node.home_of(key="k", stamp_ms=START_MS + HOME_DELAY_MS - 1).is_err()
+
+
+def test_stale_read_changes_nothing() -> None:
+    node = Membership()
+    versions = [
+        first_version(),
+        ListVersion(version=2, published_ms=START_MS + 10, removed=("s0",)),
+    ]
+    node.take_read(read(versions, START_MS + 20))
+    assert node.take_read(read(versions, START_MS + 5)) is ReadEffect.STALE
+    assert node.instance("s0") is None
+
+
+def test_gap_is_not_taken_in() -> None:
+    node = Membership()
+    node.take_read(read([first_version()], START_MS))
+    third = ListVersion(version=3, published_ms=START_MS + 9, removed=("s1",))
+    gap = ListRead(versions=(third,), as_of_ms=START_MS + 9, snapshot=False)
+    assert node.take_read(gap) is ReadEffect.GAP
+    assert node.instance("s1") is not None
+
+
+def test_subset_spreads_over_data_centres_and_moves_little() -> None:
+    candidates = [
+        make_instance(f"s{number}", data_centre=f"dc-{number % 5}")
+        for number in range(850)
+    ]
+    chosen = choose_subset(entry="e", pool="p", candidates=candidates, size=25)
+    by_centre = [item.data_centre for item in chosen]
+    assert all(by_centre.count(f"dc-{number}") == 5 for number in range(5))
+    fewer = [item for item in candidates if item is not chosen[0]]
+    again = choose_subset(entry="e", pool="p", candidates=fewer, size=25)
+    assert len({item.name for item in chosen} & {item.name for item in again}) >= 23
--- /dev/null
+++ b/tests/components/routing/__init__.py
@@ -0,0 +1,1 @@
+"""Test routing."""
--- /dev/null
+++ b/tests/components/settings/test_core.py
@@ -0,0 +1,118 @@
+"""Test inheritance, faults with lines, and revisions that only rise."""
+
+import pytest
+from hypothesis import given
+from hypothesis import strategies as st
+
+from pistachiohaven.components.settings import (
+    Acceptance,
+    Overrides,
+    SettingsStore,
+    difference,
+    explain,
+    make_tree,
+    parse_tree,
+    resolve,
+)
+
+TREE = """\
+revision: 7
+settings:
+  pool: draft
+  weight: 3.0
+organisations:
+  laurentide:
+    settings: {max_tokens: 64}
+    applications:
+      drafting:
+        tiers:
+          urgent:
+            settings: {rank: 0}
+"""
+LEAF = "laurentide/drafting/urgent"
+
+
+def test_leaf_inherits_from_every_level() -> None:
+    leaf = resolve(parse_tree(TREE).unwrap(), LEAF)
+    assert leaf is not None
+    assert (leaf.rank, leaf.max_tokens, leaf.weight, leaf.pool) == (0, 64, 3.0, "draft")
+
+
+def test_explain_names_the_node_that_sets_a_value() -> None:
+    found = {item.name: item.path for item in explain(parse_tree(TREE).unwrap(), LEAF)}
+    assert found["rank"] == LEAF
+    assert found["max_tokens"] == "laurentide"
+    assert found["pool"] == "(root)"
+    assert found["retry_share"] == "(default)"
+
+
+@pytest.mark.parametrize(
+    ("old", "new", "line", "key"),
+    [
+        ("rank: 0", "rank: 4", 12, "tiers.urgent.settings.rank"),
+        ("max_tokens: 64", "max_token: 64", 7, "laurentide.settings.max_token"),
+        ("  weight: 3.0", "  weight: heavy", 4, "settings.weight"),
+        ("  weight: 3.0", "  pool: other", 4, "pool"),
+        ("  pool: draft\n", "", 10, "laurentide/drafting/urgent.pool"),
+        ("revision: 7", "revision: [", 3, "(document)"),
+    ],
+)
+def test_fault_names_line_and_key(old: str, new: str, line: int, key: str) -> None:
+    faults = parse_tree(TREE.replace(old, new)).unwrap_err()
+    assert faults[0].line == line
+    assert faults[0].key.endswith(key)
+
+
+@pytest.mark.parametrize("text", ["", "[]", "a: &x [*x]", "revision: 1\n---\nb: 2"])
+def test_hostile_text_is_refused(text: str) -> None:
+    assert parse_tree(text).is_err()
+
+
+def test_older_revision_is_ignored() -> None:
+    store = SettingsStore()
+    newer = parse_tree(TREE).unwrap()
+    older = parse_tree(TREE.replace("revision: 7", "revision: 6")).unwrap()
+    assert store.accept_tree(newer) is Acceptance.ACCEPTED
+    assert store.accept_tree(older) is Acceptance.STALE
+    assert store.accept_tree(newer) is Acceptance.SAME
+    assert store.revision == 7
+
+
+def test_same_revision_with_other_content_is_corrupt() -> None:
+    store = SettingsStore()
+    store.accept_tree(parse_tree(TREE).unwrap())
+    other = parse_tree(TREE.replace("rank: 0", "rank: 1")).unwrap()
+    assert store.accept_tree(other) is Acceptance.CORRUPT
+
+
+NODES = st.dictionaries(
+    st.sampled_from(["", "a", "a/b", "a/b/c", "d"]),
+    st.builds(Overrides, rank=st.integers(0, 3), pool=st.sampled_from(["x", "y"])),
+)
+
+
+@given(st.lists(NODES, min_size=2, max_size=6), st.data())
+def test_one_delta_over_many_edits_gives_the_same_tree(
+    versions: list[dict[str, Overrides]], data: st.DataObject
+) -> None:
+    trees = [
+        make_tree(revision=number, nodes=nodes)
+        for number, nodes in enumerate(versions, 1)
+    ]
+    ahead, behind = SettingsStore(), SettingsStore()
+    start = data.draw(st.integers(0, len(trees) - 2))
+    for tree in trees:
+        ahead.accept_tree(tree)
+    behind.accept_tree(trees[start])
+    delta = ahead.delta_since(behind.revision)
+    assert delta is not None
+    assert behind.accept_delta(delta) is Acceptance.ACCEPTED
+    assert behind.tree == trees[-1]
+
+
+def test_delta_that_does_not_join_is_a_gap() -> None:
+    one, two, three = (make_tree(revision=n, nodes={}) for n in (1, 2, 3))
+    store = SettingsStore()
+    store.accept_tree(one)
+    assert store.accept_delta(difference(two, three)) is Acceptance.GAP
+    assert store.revision == 1
