Learn a target's rate only while work waits for room

Cause: the rate was sampled under light load too, so a target with one long stream looked slow and others were preferred. Change: a sample taken while nothing waited may raise the rate, never lower it.

--- a/pistachiohaven/components/admission/_core.py
+++ b/pistachiohaven/components/admission/_core.py
@@ -4,11 +4,11 @@
 
 from pistachiohaven.const import MS_PER_S, NO_RANK, TIER_COUNT
 from pistachiohaven.core import Reason, Work
-from pistachiohaven.helpers import Ewma
 
 from ._floor import FloorNews, ShedFloor
 from ._limit import EngineLimit, InUse
 from ._queue import TierQueue, Waiting, cost_tokens
+from ._rate import RateMeter
 from .const import (
     DECREASE_PAUSE_MS,
     LEAST_WAIT_SHARE,
@@ -17,8 +17,6 @@
     PREEMPT_WAIT_MAX_MS,
     PREEMPT_WAIT_SHARE,
     PRESS_CHECK_MS,
-    RATE_SAMPLE_MS,
-    RATE_SMOOTHING,
     RETRY_AFTER_MAX_MS,
     RETRY_AFTER_MIN_MS,
     SHED_HOLD_MS,
@@ -82,9 +80,7 @@
         self.limit = limit or EngineLimit()
         self.queue = TierQueue()
         self.running: dict[str, Running] = {}
-        self._rate = Ewma(share=RATE_SMOOTHING)
-        self._rate_from_ms: int | None = None
-        self._done_tokens = 0
+        self._rate = RateMeter()
         self._held_until_ms = [0] * TIER_COUNT
         self._shed_here = ShedFloor()
         self.floor = ShedFloor()
@@ -115,7 +111,7 @@
 
     def tokens_per_s(self) -> float:
         """Return the learnt rate at which this target finishes tokens; 0 unknown."""
-        return self._rate.get(0.0) * MS_PER_S
+        return self._rate.tokens_per_ms * MS_PER_S
 
     # Events
 
@@ -237,6 +233,8 @@
         effects: list[Effect] = []
         while (waiting := self._next_fitting(now_ms)) is not None:
             effects.append(self._dispatch(waiting, now_ms))
+        if len(self.queue):
+            self._rate.full()
         return effects
 
     def _next_fitting(self, now_ms: int) -> Waiting | None:
@@ -253,7 +251,7 @@
         self.queue.take(waiting)
         work = waiting.work
         if not self.running:
-            self._rate_from_ms = now_ms
+            self._rate.busy(now_ms=now_ms)
         late_at_ms = now_ms + self.limit.allowance_ms(work.prefill_tokens)
         self.running[work.request_id] = Running(
             work=work, dispatched_ms=now_ms, late_at_ms=late_at_ms
@@ -325,7 +323,7 @@
 
     def _room_in_ms(self, work: Work) -> float:
         """Predict when `work` will fit if nothing is cancelled."""
-        rate = self._rate.get(0.0)
+        rate = self._rate.tokens_per_ms
         if rate <= 0:
             return float("inf")
         in_use = self._in_use(TIER_COUNT)
@@ -402,8 +400,8 @@
 
     def _wait_ms(self, work: Work) -> float:
         """Predict how long `work` would wait if it came now; 0 while unknown."""
-        rate = self._rate.value
-        if rate is None or rate <= 0 or not self.running:
+        rate = self._rate.tokens_per_ms
+        if rate <= 0 or not self.running:
             return 0.0
         return self.queue.tokens_ahead(work) / rate
 
@@ -413,15 +411,7 @@
             gap_ms = (now_ms - running.first_byte_ms) / (tokens - 1)
             in_use = self._in_use(TIER_COUNT)
             self.limit.token_gap(gap_ms=gap_ms, in_use=in_use, now_ms=now_ms)
-        self._done_tokens += cost_tokens(running.work)
-        start_ms = running.dispatched_ms
-        if self._rate_from_ms is None:
-            self._rate_from_ms = start_ms
-        elapsed_ms = now_ms - self._rate_from_ms
-        if elapsed_ms >= RATE_SAMPLE_MS:
-            self._rate.add(self._done_tokens / elapsed_ms)
-            self._done_tokens = 0
-            self._rate_from_ms = now_ms
+        self._rate.done(cost_tokens(running.work), now_ms=now_ms)
 
 
 def _preempt_at_ms(waiting: Waiting) -> int:
