Ask back when a peer has something newer; compare once a second

Cause: after the push one node in fifty waits for its own next comparison; the last of 3,000 nodes had an edit after 2.6 to 3.5 s. Change: a node that is asked by a peer with newer documents asks back at once, and nodes compare every second instead of every two. Tests: stale platform and peers, partition, starting nodes, deltas that do not fit.

--- a/pistachiohaven/components/membership/_core.py
+++ b/pistachiohaven/components/membership/_core.py
@@ -36,14 +36,17 @@
         self._addresses: dict[str, Instance] = {}
         self._ring = HomeRing()
         self._purged_ms = 0
+        self._everyone: list[Instance] | None = None
 
     def instance(self, name: str) -> Instance | None:
         """Return the listed instance called `name`."""
         return self._by_name.get(name)
 
     def everyone(self) -> list[Instance]:
-        """Return all listed instances."""
-        return list(self._by_name.values())
+        """Return all listed instances; the list is not to be changed."""
+        if self._everyone is None:
+            self._everyone = list(self._by_name.values())
+        return self._everyone
 
     def instances(self, role: str) -> list[Instance]:
         """Return all listed instances of `role`, leaving ones included."""
@@ -74,6 +77,7 @@
         for item in fresh:
             self._apply(item)
         self.as_of_ms = read.as_of_ms
+        self._everyone = None
         self._purge()
         return ReadEffect.NEWER
 
--- a/pistachiohaven/components/node/_node.py
+++ b/pistachiohaven/components/node/_node.py
@@ -84,6 +84,7 @@
         self.stop = trio.Event()
         self._changed = trio.Event()
         self._leaving = trio.Event()
+        self._nursery: trio.Nursery | None = None
 
     def changed(self) -> trio.Event:
         """Return the event that is set at the next change of settings or list."""
@@ -100,6 +101,7 @@
     async def run(self) -> None:
         """Run the loops until the nursery around them is cancelled."""
         async with trio.open_nursery() as nursery:
+            self._nursery = nursery
             nursery.start_soon(self._read_once)
             nursery.start_soon(self._watch_settings)
             nursery.start_soon(self._watch_list)
@@ -130,8 +132,12 @@
         if isinstance(sync, Err):
             return None
         before = self.spread.known()
+        known = sync.ok_value.known
         news = self.spread.take_sync(sync.ok_value)
         self._after(before)
+        asker = self.membership.instance(known.name)
+        if asker is not None and self._nursery and self.spread.behind(known):
+            self._nursery.start_soon(self._sync_with, asker, None)
         return self._counted(encode(news))
 
     async def _compare(self) -> None:
--- a/pistachiohaven/components/spread/_core.py
+++ b/pistachiohaven/components/spread/_core.py
@@ -56,6 +56,8 @@
         self._list_log: deque[ListVersion] = deque(maxlen=LIST_VERSIONS_KEPT)
         self._peers_heard: dict[str, bool] = {}
         self._next_read_ms = 0
+        self._watcher = True
+        self._watcher_version = 0
         self.serving = False
         self.stale_reads = 0
 
@@ -115,8 +117,9 @@
 
     def choose_peers(self, count: int = FANOUT) -> list[Instance]:
         """Return up to `count` random peers."""
-        peers = self.peers()
-        return self._rng.sample(peers, min(count, len(peers)))
+        everyone = self._membership.everyone()
+        drawn = self._rng.sample(everyone, min(count + 1, len(everyone)))
+        return [item for item in drawn if item.name != self._name][:count]
 
     def news_for(self, known: Known) -> News:
         """Return what the node that `known` describes lacks."""
@@ -147,6 +150,11 @@
             self._take_parts(sync.news)
         return self.news_for(sync.known)
 
+    def behind(self, known: Known) -> bool:
+        """Return True if the node that `known` describes has something newer."""
+        newer_settings = known.revision > self._settings.revision
+        return newer_settings or known.list_version > self._membership.version
+
     def take_news(self, news: News) -> bool:
         """Take in a peer's answer; return True if anything was new here."""
         self._heard(news.known)
@@ -190,6 +198,14 @@
 
     def is_watcher(self) -> bool:
         """Return True if this node watches the platform for its data centre."""
+        version = self._membership.version
+        if version != self._watcher_version:
+            self._watcher_version = version
+            self._watcher = self._is_chosen()
+        return self._watcher
+
+    def _is_chosen(self) -> bool:
+        """Return True if the list makes this node a watcher; without one it is."""
         names = [
             item.name
             for item in self._membership.everyone()
--- a/pistachiohaven/components/spread/const.py
+++ b/pistachiohaven/components/spread/const.py
@@ -5,7 +5,7 @@
 FANOUT: Final = 4
 """Peers told at once of a revision that is new here."""
 
-SYNC_INTERVAL_MS: Final = 2_000
+SYNC_INTERVAL_MS: Final = 1_000
 """Mean time between two comparisons with a random peer."""
 
 WATCHERS_PER_DATA_CENTRE: Final = 3
