Take a last look at every target in reach before refusing for want of room

Change: before an entry refuses for want of room it tells every target in reach, which refuse less urgent work from then on and answer what they hold; a look counts for 1 s.

--- a/pistachiohaven/components/entry/_exchange.py
+++ b/pistachiohaven/components/entry/_exchange.py
@@ -9,6 +9,7 @@
 import xxhash
 from result import Err, Ok, Result
 
+from pistachiohaven.components.admission import FloorNews
 from pistachiohaven.components.dispatch import Claim, Key, Ticket
 from pistachiohaven.components.node import Node
 from pistachiohaven.components.peer import (
@@ -18,6 +19,7 @@
     OfferFacts,
     OfferMessage,
     RefusalMessage,
+    Report,
     ResumeMessage,
     StageAnswer,
     decode,
@@ -26,6 +28,7 @@
 )
 from pistachiohaven.components.peer import const as wire
 from pistachiohaven.components.routing import Router
+from pistachiohaven.components.routing.const import FLOOR_MS
 from pistachiohaven.components.web import CallError, call
 from pistachiohaven.const import MS_PER_S
 from pistachiohaven.core import Instance, Reason
@@ -40,9 +43,11 @@
     ClaimRefused,
     Event,
     Granted,
+    Looked,
     NotSent,
     Refused,
     SendClaim,
+    SendLook,
     SendOffer,
     SendResume,
     SendWithdraw,
@@ -54,6 +59,7 @@
 from .const import (
     CONNECT_TIMEOUT_MS,
     CONTROL_TIMEOUT_MS,
+    LOOK_TIMEOUT_MS,
     RECOVERY_MS,
     RECOVERY_PAUSE_MS,
     SILENCE_MS,
@@ -185,6 +191,21 @@
             await trio.sleep(RECOVERY_PAUSE_MS / MS_PER_S)
         return Staged(answer=None)
 
+    @perform.register
+    async def _(self, action: SendLook) -> Event:
+        news = FloorNews(rank=self._intake.work.rank, left_ms=FLOOR_MS)
+        body = encode(news)
+        with trio.move_on_after(LOOK_TIMEOUT_MS / MS_PER_S):
+            async with trio.open_nursery() as nursery:
+                for sidecar in action.sidecars:
+                    nursery.start_soon(self._look, sidecar, body)
+        return Looked()
+
+    async def _look(self, sidecar: str, body: bytes) -> None:
+        address = self._address(sidecar)
+        if address is not None:
+            await self._ask(address, wire.FLOOR_PATH, body, Report)
+
     async def abandon(self) -> None:
         """Tell the sidecar that the caller left."""
         if self._offered is None:
--- a/pistachiohaven/components/entry/_request.py
+++ b/pistachiohaven/components/entry/_request.py
@@ -64,6 +64,13 @@
     request_id: str
 
 
+@dataclass(frozen=True, slots=True, kw_only=True)
+class SendLook:
+    """Ask targets what they hold and tell them that this rank finds no room."""
+
+    sidecars: tuple[str, ...]
+
+
 @dataclass(frozen=True, slots=True, kw_only=True)
 class Finish:
     """Tell the caller the outcome."""
@@ -73,7 +80,7 @@
     retry_after_ms: int = 0
 
 
-Action = SendClaim | SendOffer | SendWithdraw | SendResume | Finish
+Action = SendClaim | SendOffer | SendWithdraw | SendResume | SendLook | Finish
 
 # Events: what the entry learnt about the last action.
 
@@ -140,6 +147,11 @@
     """No byte of the answer came before the deadline."""
 
 
+@dataclass(frozen=True, slots=True, kw_only=True)
+class Looked:
+    """The targets in reach have answered."""
+
+
 @dataclass(frozen=True, slots=True, kw_only=True)
 class Whole:
     """The whole answer came."""
@@ -156,6 +168,7 @@
     | Staged
     | AnswerGone
     | TimeUp
+    | Looked
     | Whole
 )
 
@@ -188,6 +201,8 @@
         self._released = 0
         self._claimed_ms = 0
         self._gave_up = False
+        self._look_ms: int | None = None
+        self._look_release: Release | None = None
         self._last_refusal = Refused(
             reason=Reason.NO_TARGET, retry_after_ms=DEFAULT_RETRY_AFTER_MS
         )
@@ -295,6 +310,12 @@
             attempt=offer.attempt,
         )
 
+    @handle.register
+    def _(self, event: Looked, *, now_ms: int) -> Action:
+        asked_ms = now_ms if self._look_ms is None else self._look_ms
+        self._router.looked(self.work, asked_ms=asked_ms)
+        return self._next_target(now_ms=now_ms, release=self._look_release)
+
     @handle.register
     def _(self, event: Whole, *, now_ms: int) -> Action:
         return Finish(outcome=Outcome.ANSWERED)
@@ -396,6 +417,9 @@
     ) -> Action:
         """End a request that did not run; a key's home has to agree first."""
         if self._last_refusal.reason in FULL_REASONS:
+            look = self._last_look(release, now_ms=now_ms)
+            if look is not None:
+                return look
             self._router.shed(self.work, now_ms=now_ms)
         if self._key is None:
             return self._not_run(reason)
@@ -405,6 +429,17 @@
         self._gave_up = True
         return self._send_claim(NOBODY, "", release, now_ms=now_ms)
 
+    def _last_look(self, release: Release | None, *, now_ms: int) -> SendLook | None:
+        """Return a look at all targets, if that is due before a refusal."""
+        if self._look_ms is not None or self._time_up:
+            return None
+        views = self._router.to_look_at(self.work, now_ms=now_ms)
+        if not views:
+            return None
+        self._look_ms = now_ms
+        self._look_release = release
+        return SendLook(sidecars=tuple(view.instance.name for view in views))
+
     def _not_run(self, reason: Reason) -> Finish:
         """Finish a request that is proved not to have run."""
         return Finish(
--- a/pistachiohaven/components/entry/const.py
+++ b/pistachiohaven/components/entry/const.py
@@ -11,6 +11,9 @@
 PROBES_AT_ONCE: Final = 4
 PROBE_INTERVAL_MS: Final = 250
 CONTROL_TIMEOUT_MS: Final = 1_000
+LOOK_TIMEOUT_MS: Final = 250
+"""How long targets have to say what they hold before a request is refused."""
+
 CONNECT_TIMEOUT_MS: Final = 1_000
 RECOVERY_MS: Final = 3_000
 """How long an entry tries to learn what became of a broken offer."""
--- a/pistachiohaven/components/measure/_once.py
+++ b/pistachiohaven/components/measure/_once.py
@@ -25,10 +25,12 @@
     Event,
     Finish,
     Granted,
+    Looked,
     NotSent,
     Refused,
     RequestCore,
     SendClaim,
+    SendLook,
     SendOffer,
     SendResume,
     SendWithdraw,
@@ -67,6 +69,7 @@
 MAX_QUEUE_MS = 400
 LAST_BURST_MS = 80_000
 BURST_MS = 2_000
+LOOK_MS = 20
 LIST_READ_MS = 3_000
 """Time between two reads of the list by one entry."""
 
@@ -198,6 +201,8 @@
             self._offer(action)
         elif isinstance(action, SendWithdraw):
             self._withdraw(action, tries=RECOVERY_TRIES)
+        elif isinstance(action, SendLook):
+            self._later(self._step, Looked(), LOOK_MS)
         else:
             self._resume(action)
 
--- a/pistachiohaven/components/measure/_traffic.py
+++ b/pistachiohaven/components/measure/_traffic.py
@@ -4,18 +4,22 @@
 from dataclasses import dataclass, field
 from functools import partial
 
-from pistachiohaven.components.admission import Dispatch, Preempt, Refuse
+from pistachiohaven.components.admission import Dispatch, FloorNews, Preempt, Refuse
 from pistachiohaven.components.entry._request import (
     Action,
+    Event,
     Finish,
+    Looked,
     Refused,
     RequestCore,
+    SendLook,
     SendOffer,
 )
 from pistachiohaven.components.membership import ListRead, ListVersion, Membership
 from pistachiohaven.components.peer import OfferFacts
 from pistachiohaven.components.retry import RetryBudgets
 from pistachiohaven.components.routing import Policy, PredictivePolicy, Router
+from pistachiohaven.components.routing.const import FLOOR_MS
 from pistachiohaven.components.sidecar import SidecarCore
 from pistachiohaven.components.sidecar._core import Effect
 from pistachiohaven.const import MS_PER_S, NO_RANK, TIER_COUNT
@@ -77,6 +81,7 @@
     prefill_wasted: float = 0.0
     inversions: int = 0
     offers: int = 0
+    looks: int = 0
     organisations: dict[str, int] = field(default_factory=dict)
 
     def wasted_share(self) -> float:
@@ -109,6 +114,11 @@
         effects = self.core.offer(facts, now_ms=now_ms, wall_ms=START_WALL_MS + now_ms)
         self._carry_out(effects)
 
+    def raise_floor(self, news: FloorNews) -> None:
+        """Take in that a rank found no room."""
+        now_ms = self._traffic.events.now_ms
+        self._carry_out(self.core.raise_floor(news, now_ms=now_ms))
+
     def step(self) -> None:
         """Let the engine work and the core look at the clock."""
         self.engine.step()
@@ -246,9 +256,25 @@
             )
             target = self._targets[action.sidecar]
             self.events.after(HOP_MS, partial(target.offer, facts))
+        elif isinstance(action, SendLook):
+            self.outcomes.looks += len(action.sidecars)
+            for name in action.sidecars:
+                self.events.after(HOP_MS, partial(self._look, flight, name))
+            done = partial(self._learn, flight, Looked())
+            self.events.after(2 * HOP_MS, done)
         elif isinstance(action, Finish) and action.outcome is Outcome.NOT_RUN:
             self._give_up(flight)
 
+    def _look(self, flight: _Flight, name: str) -> None:
+        """Tell a target of a rank without room, and take its report back."""
+        rank = flight.arrival.work.rank
+        target = self._targets[name]
+        target.raise_floor(FloorNews(rank=rank, left_ms=FLOOR_MS))
+        now_ms = self.events.now_ms
+        report = target.core.report(now_ms=now_ms)
+        deliver = partial(flight.router.take_report, report, measured_ms=now_ms)
+        self.events.after(HOP_MS, deliver)
+
     def _give_up(self, flight: _Flight) -> None:
         work = flight.arrival.work
         self.outcomes.refused[work.rank] += 1
@@ -265,7 +291,7 @@
         event = Refused(reason=effect.reason, retry_after_ms=effect.retry_after_ms)
         self.events.after(HOP_MS, partial(self._learn, flight, event))
 
-    def _learn(self, flight: _Flight, event: Refused) -> None:
+    def _learn(self, flight: _Flight, event: Event) -> None:
         action = flight.core.handle(event, now_ms=self.events.now_ms)
         self._perform(flight, action)
 
--- a/pistachiohaven/components/routing/_core.py
+++ b/pistachiohaven/components/routing/_core.py
@@ -2,6 +2,7 @@
 
 import random
 from collections.abc import Iterable, Sequence
+from dataclasses import dataclass
 
 from pistachiohaven.components.admission import FloorNews, ShedFloor
 from pistachiohaven.components.membership import Membership, choose_subset
@@ -15,6 +16,14 @@
 from .const import FLOOR_MS, REPORT_FRESH_MS
 
 
+@dataclass(frozen=True, slots=True, kw_only=True)
+class _Look:
+    """Hold for whom the targets of a pool were asked, and how long that counts."""
+
+    rank: int
+    until_ms: int
+
+
 class Router:
     """Choose a target for each request among a subset of its pool."""
 
@@ -34,6 +43,7 @@
         self._pools: dict[str, list[TargetView]] = {}
         self._prefixes = PrefixMap()
         self._floors: dict[str, ShedFloor] = {}
+        self._looks: dict[str, _Look] = {}
         self._turn = 0
 
     def view(self, name: str) -> TargetView | None:
@@ -81,6 +91,23 @@
         """Return what is known of refusals in `pool`."""
         return self._floors.setdefault(pool, ShedFloor())
 
+    def to_look_at(self, work: Work, *, now_ms: int) -> list[TargetView]:
+        """Return the targets to ask before `work` is refused, none if just asked.
+
+        A look makes its targets refuse less urgent work while it counts, so what it
+        found about such work stays true.
+        """
+        look = self._looks.get(work.pool)
+        if look and look.rank <= work.rank and now_ms < look.until_ms:
+            return []
+        views = self._pools.get(work.pool, ())
+        return [view for view in views if now_ms >= view.suspect_until_ms]
+
+    def looked(self, work: Work, *, asked_ms: int) -> None:
+        """Take in that every target in reach was asked on behalf of `work`."""
+        until_ms = asked_ms + FLOOR_MS
+        self._looks[work.pool] = _Look(rank=work.rank, until_ms=until_ms)
+
     def shed(self, work: Work, *, now_ms: int) -> None:
         """Take in that `work` found no room: less urgent work must not start."""
         news = FloorNews(rank=work.rank, left_ms=FLOOR_MS)
--- a/pistachiohaven/components/sidecar/_app.py
+++ b/pistachiohaven/components/sidecar/_app.py
@@ -8,7 +8,7 @@
 from prometheus_client import generate_latest
 from result import Err, Ok
 
-from pistachiohaven.components.admission import Refuse
+from pistachiohaven.components.admission import FloorNews, Refuse
 from pistachiohaven.components.dispatch import Claim, KeyHome
 from pistachiohaven.components.node import Node
 from pistachiohaven.components.node.const import MAX_CONTROL_BYTES
@@ -85,6 +85,7 @@
             wire.RESUME_PATH: self._resume,
             wire.ABANDON_PATH: self._abandon,
             wire.CLAIM_PATH: self._claim,
+            wire.FLOOR_PATH: self._floor,
             wire.SYNC_PATH: self._sync,
         }
 
@@ -262,6 +263,14 @@
         self._runner.metrics.claims.labels(answer.reason or "granted").inc()
         await self._reply(send, OK, answer)
 
+    async def _floor(self, body: bytes, receive: Receive, send: Send) -> None:
+        news = await self._read(body, FloorNews, send)
+        if news is None:
+            return
+        now_ms = self._node.clock.now_ms()
+        self._runner.carry_out(self._core.raise_floor(news, now_ms=now_ms))
+        await self._reply(send, OK, self._report())
+
     async def _sync(self, body: bytes, receive: Receive, send: Send) -> None:
         content = self._node.answer_sync(body)
         if content is None:
--- a/pistachiohaven/components/sidecar/_core.py
+++ b/pistachiohaven/components/sidecar/_core.py
@@ -3,6 +3,7 @@
 from pistachiohaven.components.admission import (
     Admission,
     Dispatch,
+    FloorNews,
     Preempt,
     Refuse,
 )
@@ -65,8 +66,7 @@
         if reason is not None:
             self._bury(facts, reason, now_ms=now_ms)
             return [self._decline(facts, reason)]
-        raised = self.admission.raise_floor(facts.floor, now_ms=now_ms)
-        effects = self._apply(raised, now_ms)
+        effects = self.raise_floor(facts.floor, now_ms=now_ms)
         self.record.admit(
             dispatch_id=facts.dispatch_id,
             request_id=facts.work.request_id,
@@ -155,6 +155,11 @@
         effects = self.admission.ended(request_id, tokens=0, whole=False, now_ms=now_ms)
         return [self._decline(facts, reason), *self._apply(effects, now_ms)]
 
+    def raise_floor(self, news: FloorNews, *, now_ms: int) -> list[Effect]:
+        """Take in that more urgent work was refused somewhere in the pool."""
+        effects = self.admission.raise_floor(news, now_ms=now_ms)
+        return self._apply(effects, now_ms)
+
     def tick(self, *, now_ms: int) -> list[Effect]:
         """Act on the time."""
         return self._apply(self.admission.tick(now_ms=now_ms), now_ms)
