Move the engine limit at most once per pause; offer with what is left of the times

Cause: late first tokens of rank 0 at 3x came from the engine's own queue (up to 74 requests), since twenty good signals a second outran one bad one; and from second offers that were given the whole queue allowance again (waits of 1.3 s). Change: a window grows at most every 50 ms after its first bad signal and only on a clear good one; the delay target is 250 ms; an offer carries what is left of its times.

--- a/pistachiohaven/components/admission/_limit.py
+++ b/pistachiohaven/components/admission/_limit.py
@@ -8,6 +8,7 @@
     DECREASE_FACTOR,
     DECREASE_PAUSE_MS,
     FIRST_INCREASE_SHARE,
+    INCREASE_PAUSE_MS,
     INCREASE_SHARE,
     INITIAL_DECODE_TOKENS,
     INITIAL_PREFILL_TOKENS,
@@ -23,22 +24,29 @@
     """Hold one limit in tokens that grows while signals are good.
 
     It grows fast until the first bad signal and slowly after it, and only while the
-    work in hand comes close to it. A bad signal shrinks it below the work in hand,
-    at most once per pause.
+    work in hand comes close to it. A bad signal shrinks it below the work in hand.
+    After the first bad signal it moves at most once per pause, so that many good
+    signals at once do not outrun a bad one.
     """
 
-    __slots__ = ("_floor", "_probing", "_shrunk_ms", "tokens")
+    __slots__ = ("_floor", "_grown_ms", "_probing", "_shrunk_ms", "tokens")
 
     def __init__(self, *, initial: int, floor: int) -> None:
         self.tokens = float(initial)
         self._floor = floor
         self._probing = True
         self._shrunk_ms: int | None = None
+        self._grown_ms: int | None = None
 
-    def good(self, *, in_use: int) -> None:
+    def good(self, *, in_use: int, now_ms: int) -> None:
         """Take in a good signal seen with `in_use` tokens in hand."""
         if in_use < self.tokens / 2:
             return
+        grown_ms = self._grown_ms
+        paused = grown_ms is not None and now_ms - grown_ms < INCREASE_PAUSE_MS
+        if paused and not self._probing:
+            return
+        self._grown_ms = now_ms
         share = FIRST_INCREASE_SHARE if self._probing else INCREASE_SHARE
         self.tokens = min(self.tokens * (1 + share), MAX_WINDOW_TOKENS)
 
@@ -106,9 +114,11 @@
         if waited_ms > allowed_ms:
             self.late(in_use=in_use, now_ms=now_ms)
             return
-        self.prefill.good(in_use=in_use.prefill)
+        if waited_ms > allowed_ms - QUEUE_DELAY_TARGET_MS // 2:
+            return
+        self.prefill.good(in_use=in_use.prefill, now_ms=now_ms)
         if prompt_tokens == 0:
-            self.decode.good(in_use=in_use.decode)
+            self.decode.good(in_use=in_use.decode, now_ms=now_ms)
 
     def late(self, *, in_use: InUse, now_ms: int) -> None:
         """Take in that a first token is late.
@@ -124,7 +134,7 @@
     def token_gap(self, *, gap_ms: float, in_use: InUse, now_ms: int) -> None:
         """Take in the mean time between tokens of one answer."""
         if gap_ms <= BETWEEN_TOKENS_TARGET_MS:
-            self.decode.good(in_use=in_use.decode)
+            self.decode.good(in_use=in_use.decode, now_ms=now_ms)
             return
         self.decode.bad(in_use=in_use.decode, now_ms=now_ms)
 
--- a/pistachiohaven/components/admission/const.py
+++ b/pistachiohaven/components/admission/const.py
@@ -31,13 +31,14 @@
 MIN_DECODE_TOKENS: Final = 256
 MAX_WINDOW_TOKENS: Final = 4_194_304
 
-QUEUE_DELAY_TARGET_MS: Final = 150
+QUEUE_DELAY_TARGET_MS: Final = 250
 """Delay inside the engine, beyond a lone request's, that the limit aims at."""
 
 DECREASE_FACTOR: Final = 0.85
 INCREASE_SHARE: Final = 0.05
 FIRST_INCREASE_SHARE: Final = 0.5
 DECREASE_PAUSE_MS: Final = 200
+INCREASE_PAUSE_MS: Final = 50
 
 RATE_SAMPLE_MS: Final = 500
 RATE_SMOOTHING: Final = 0.3
--- a/pistachiohaven/components/entry/_app.py
+++ b/pistachiohaven/components/entry/_app.py
@@ -165,7 +165,15 @@
         self, intake: Intake, reply: CallerReply, receive: Receive
     ) -> None:
         """Drive one request to its outcome, unless the caller leaves first."""
+        core = RequestCore(
+            work=intake.work,
+            key=intake.key,
+            router=self._router,
+            budgets=self._budgets,
+            first_try=intake.first_try,
+        )
         exchange = Exchange(
+            core=core,
             intake=intake,
             reply=reply,
             node=self._node,
@@ -175,7 +183,7 @@
         finished = False
         async with trio.open_nursery() as nursery:
             nursery.start_soon(_watch_caller, receive, nursery.cancel_scope)
-            finish = await self._drive(intake, exchange)
+            finish = await self._drive(intake, core, exchange)
             finished = True
             await self._finish(intake, exchange, reply, finish)
             nursery.cancel_scope.cancel()
@@ -183,7 +191,9 @@
             self._tell_left(intake)
             await exchange.abandon()
 
-    async def _drive(self, intake: Intake, exchange: Exchange) -> Finish:
+    async def _drive(
+        self, intake: Intake, core: RequestCore, exchange: Exchange
+    ) -> Finish:
         """Perform one action after the other until the request is finished."""
         work = intake.work
         await self._know_some(work.pool)
@@ -192,13 +202,6 @@
             rank=work.rank,
             share=intake.leaf.retry_share,
         )
-        core = RequestCore(
-            work=work,
-            key=intake.key,
-            router=self._router,
-            budgets=self._budgets,
-            first_try=intake.first_try,
-        )
         action = core.start(now_ms=self._node.clock.now_ms())
         while not isinstance(action, Finish):
             event = await exchange.perform(action)
--- a/pistachiohaven/components/entry/_exchange.py
+++ b/pistachiohaven/components/entry/_exchange.py
@@ -46,6 +46,7 @@
     Looked,
     NotSent,
     Refused,
+    RequestCore,
     SendClaim,
     SendLook,
     SendOffer,
@@ -84,12 +85,14 @@
     def __init__(
         self,
         *,
+        core: RequestCore,
         intake: Intake,
         reply: CallerReply,
         node: Node,
         router: Router,
         metrics: EntryMetrics,
     ) -> None:
+        self._core = core
         self._intake = intake
         self._reply = reply
         self._node = node
@@ -339,7 +342,7 @@
 
     def _facts(self, attempt: int, incarnation: str) -> OfferFacts:
         return OfferFacts(
-            work=self._intake.work,
+            work=self._core.work_left(now_ms=self._node.clock.now_ms()),
             attempt=attempt,
             incarnation=incarnation,
             stamp_ms=self._intake.received_wall_ms,
--- a/pistachiohaven/components/entry/_request.py
+++ b/pistachiohaven/components/entry/_request.py
@@ -1,6 +1,6 @@
 """Decide, step by step, what one request does next."""
 
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 from functools import singledispatchmethod
 
 from pistachiohaven.components.dispatch import (
@@ -198,6 +198,7 @@
         self._tried: list[str] = []
         self._offer: SendOffer | None = None
         self._attempts = 0
+        self._started_ms = 0
         self._released = 0
         self._claimed_ms = 0
         self._gave_up = False
@@ -209,8 +210,18 @@
 
     def start(self, *, now_ms: int) -> Action:
         """Return the first action."""
+        self._started_ms = now_ms
         return self._next_target(now_ms=now_ms, release=None)
 
+    def work_left(self, *, now_ms: int) -> Work:
+        """Return the work with what is left of its times."""
+        waited_ms = now_ms - self._started_ms
+        return replace(
+            self.work,
+            max_queue_ms=max(self.work.max_queue_ms - waited_ms, 0),
+            first_token_ms=max(self.work.first_token_ms - waited_ms, 0),
+        )
+
     @singledispatchmethod
     def handle(self, event: object, *, now_ms: int) -> Action:
         """Return the action that follows `event`."""
--- a/pistachiohaven/components/measure/_traffic.py
+++ b/pistachiohaven/components/measure/_traffic.py
@@ -248,7 +248,7 @@
         if isinstance(action, SendOffer):
             self.outcomes.offers += 1
             facts = OfferFacts(
-                work=flight.arrival.work,
+                work=flight.core.work_left(now_ms=self.events.now_ms),
                 attempt=action.attempt,
                 incarnation=action.incarnation,
                 stamp_ms=START_WALL_MS + flight.arrival.at_ms,
