Let a refused rank still go where less urgent work runs

Change: a floor or hold never refuses work while less urgent work runs there; the queue allowance takes off the delay the engine lately showed. The admission machine now raises floors too.

--- a/pistachiohaven/components/admission/_core.py
+++ b/pistachiohaven/components/admission/_core.py
@@ -117,8 +117,7 @@
 
     def offer(self, work: Work, *, now_ms: int) -> list[Effect]:
         """Take in a new request and return what follows from it."""
-        refused_here = self._shed_here.refuses(work.rank, now_ms=now_ms)
-        if refused_here or self.floor.refuses(work.rank, now_ms=now_ms):
+        if self._held_back(work.rank, now_ms) and not self._lower_running(work.rank):
             return [*self._shed(work, now_ms)]
         crowded = len(self.queue) >= MAX_QUEUED
         late = self._wait_ms(work) > self._allowance_ms(work)
@@ -136,6 +135,11 @@
             return effects + self._fill(now_ms)
         return [*self._shed(work, now_ms)]
 
+    def _held_back(self, rank: int, now_ms: int) -> bool:
+        """Return True if more urgent work was lately refused here or in the pool."""
+        refused_here = self._shed_here.refuses(rank, now_ms=now_ms)
+        return refused_here or self.floor.refuses(rank, now_ms=now_ms)
+
     def _push(self, work: Work, now_ms: int) -> None:
         allowance_ms = self._allowance_ms(work)
         self.queue.push(work, now_ms=now_ms, allowance_ms=allowance_ms)
@@ -145,7 +149,7 @@
 
         The engine's own part is taken off, but a part of the wait is always left.
         """
-        engine_ms = self.limit.allowance_ms(work.prefill_tokens)
+        engine_ms = self.limit.engine_ms(work.prefill_tokens)
         left_ms = max(work.first_token_ms - engine_ms, 0)
         least_ms = int(work.max_queue_ms * LEAST_WAIT_SHARE)
         return min(work.max_queue_ms, max(left_ms, least_ms))
--- a/pistachiohaven/components/admission/_limit.py
+++ b/pistachiohaven/components/admission/_limit.py
@@ -3,10 +3,12 @@
 from dataclasses import dataclass
 
 from pistachiohaven.const import BETWEEN_TOKENS_TARGET_MS, FIRST_TOKEN_TARGET_MS
+from pistachiohaven.helpers import Ewma
 
 from .const import (
     DECREASE_FACTOR,
     DECREASE_PAUSE_MS,
+    DELAY_SMOOTHING,
     FIRST_INCREASE_SHARE,
     INCREASE_PAUSE_MS,
     INCREASE_SHARE,
@@ -80,6 +82,7 @@
         self.prefill = Window(initial=INITIAL_PREFILL_TOKENS, floor=MIN_PREFILL_TOKENS)
         self.decode = Window(initial=INITIAL_DECODE_TOKENS, floor=MIN_DECODE_TOKENS)
         self._solo_ms_per_token: float | None = None
+        self._delay_ms = Ewma(share=DELAY_SMOOTHING)
 
     @property
     def solo_ms_per_token(self) -> float:
@@ -105,11 +108,18 @@
         solo_ms = self._solo_ms_per_token * max(prompt_tokens, 1)
         return int(solo_ms) + QUEUE_DELAY_TARGET_MS
 
+    def engine_ms(self, prompt_tokens: int) -> int:
+        """Predict the time to the first token in the engine, as full as it is."""
+        allowance_ms = self.allowance_ms(prompt_tokens)
+        delay_ms = self._delay_ms.get(0.0) - QUEUE_DELAY_TARGET_MS
+        return allowance_ms + int(max(delay_ms, 0.0))
+
     def first_token(
         self, *, waited_ms: int, prompt_tokens: int, in_use: InUse, now_ms: int
     ) -> None:
         """Take in the time from dispatch to the first token."""
         allowed_ms = self.allowance_ms(prompt_tokens)
+        self._delay_ms.add(waited_ms - allowed_ms + QUEUE_DELAY_TARGET_MS)
         self._learn_solo(waited_ms / max(prompt_tokens, 1))
         if waited_ms > allowed_ms:
             self.late(in_use=in_use, now_ms=now_ms)
--- a/pistachiohaven/components/entry/_request.py
+++ b/pistachiohaven/components/entry/_request.py
@@ -353,7 +353,7 @@
 
     def _next_target(self, *, now_ms: int, release: Release | None) -> Action:
         """Choose the next target, or give up if there is none to try."""
-        view = self._router.pick(self.work, tried=self._tried, now_ms=now_ms)
+        view = self._pick(now_ms=now_ms)
         reason = self._why_stop(view, now_ms=now_ms)
         if view is None or reason is not None:
             reason = reason or self._last_refusal.reason
@@ -364,6 +364,17 @@
             return self._send_offer(name, view.incarnation, attempt, now_ms=now_ms)
         return self._send_claim(name, view.incarnation, release, now_ms=now_ms)
 
+    def _pick(self, *, now_ms: int) -> TargetView | None:
+        """Return the next target; one with less urgent work if this rank is shed."""
+        floor = self._router.floor(self.work.pool)
+        shed = floor.refuses(self.work.rank, now_ms=now_ms)
+        return self._router.pick(
+            self.work,
+            tried=self._tried,
+            lower_first=shed or bool(self._tried),
+            now_ms=now_ms,
+        )
+
     def _why_stop(self, view: TargetView | None, *, now_ms: int) -> Reason | None:
         """Return why the request may not be offered to `view`, if it may not.
 
@@ -371,10 +382,12 @@
         """
         if self._time_up:
             return Reason.DEADLINE
+        if view is None or view.lowest_held > self.work.rank:
+            return None
         floor = self._router.floor(self.work.pool)
         if floor.refuses(self.work.rank, now_ms=now_ms):
             return Reason.OVERLOAD
-        if view is None or view.lowest_held > self.work.rank or not self._attempts:
+        if not self._attempts:
             return None
         if self._attempts >= MAX_ATTEMPTS:
             return Reason.ATTEMPTS_SPENT
--- a/pistachiohaven/components/routing/_core.py
+++ b/pistachiohaven/components/routing/_core.py
@@ -114,11 +114,16 @@
         self.floor(work.pool).raise_to(news, now_ms=now_ms)
 
     def pick(
-        self, work: Work, *, tried: Sequence[str], now_ms: int
+        self,
+        work: Work,
+        *,
+        tried: Sequence[str] = (),
+        lower_first: bool = False,
+        now_ms: int,
     ) -> TargetView | None:
         """Return the target for `work`, or None if none may be offered it.
 
-        Once a target has refused it, those that hold less urgent work go first.
+        With `lower_first`, targets that hold less urgent work are chosen if any are.
         """
         views = [
             view
@@ -126,7 +131,7 @@
             if view.instance.name not in tried
             and view.usable(rank=work.rank, now_ms=now_ms)
         ]
-        if tried:
+        if lower_first:
             lower = [view for view in views if view.lowest_held > work.rank]
             views = lower or views
         if not views:
--- a/tests/components/admission/test_core.py
+++ b/tests/components/admission/test_core.py
@@ -9,6 +9,7 @@
     Dispatch,
     Effect,
     EngineLimit,
+    FloorNews,
     Preempt,
     Refuse,
 )
@@ -173,6 +174,11 @@
             )
             self.take(self.admission.offer(work, now_ms=self.now_ms))
 
+    @rule(rank=st.integers(0, 2))
+    def refused_elsewhere(self, rank: int) -> None:
+        news = FloorNews(rank=rank, left_ms=500)
+        self.take(self.admission.raise_floor(news, now_ms=self.now_ms))
+
     @rule(wait_ms=st.sampled_from([1, 100, 700]))
     def wait(self, wait_ms: int) -> None:
         end_ms = self.now_ms + wait_ms
