Keep waiting work that runs before less urgent running work; wait for all looks

Change: a floor evicts only what has nothing less urgent running below it; the fake waits one hop longer, as the real exchange waits for each answer.

--- a/pistachiohaven/components/admission/_core.py
+++ b/pistachiohaven/components/admission/_core.py
@@ -161,6 +161,7 @@
         return [
             self._refuse(waiting, Reason.EVICTED)
             for waiting in self.queue.below(news.rank)
+            if not self._lower_running(waiting.work.rank)
         ]
 
     def withdraw(self, request_id: str) -> bool:
--- a/pistachiohaven/components/measure/_traffic.py
+++ b/pistachiohaven/components/measure/_traffic.py
@@ -32,6 +32,9 @@
 
 POOL = "draft"
 HOP_MS = 1
+LOOK_MS = 3 * HOP_MS
+"""Time after which every answer to a look has come."""
+
 DRAIN_MS = 20_000
 """Time after the last arrival in which running work may end."""
 
@@ -261,7 +264,7 @@
             for name in action.sidecars:
                 self.events.after(HOP_MS, partial(self._look, flight, name))
             done = partial(self._learn, flight, Looked())
-            self.events.after(2 * HOP_MS, done)
+            self.events.after(LOOK_MS, done)
         elif isinstance(action, Finish) and action.outcome is Outcome.NOT_RUN:
             self._give_up(flight)
 
--- a/tests/components/admission/test_core.py
+++ b/tests/components/admission/test_core.py
@@ -17,7 +17,7 @@
 from pistachiohaven.core import Reason
 from tests.work import make_work
 
-SHED = (Reason.OVERLOAD, Reason.QUEUE_DEADLINE)
+SHED = (Reason.OVERLOAD, Reason.QUEUE_DEADLINE, Reason.EVICTED)
 
 
 class FixedLimit(EngineLimit):
