Count a stream's place in the batch; after the last look try less urgent holders again

Change: each stream counts 128 tokens more; after the look every target known to hold less urgent work may be offered the request once more, under a new attempt.

--- a/pistachiohaven/components/admission/_core.py
+++ b/pistachiohaven/components/admission/_core.py
@@ -6,7 +6,7 @@
 from pistachiohaven.core import Reason, Work
 
 from ._floor import FloorNews, ShedFloor
-from ._limit import EngineLimit, InUse
+from ._limit import EngineLimit, InUse, decode_cost
 from ._queue import TierQueue, Waiting, cost_tokens
 from ._rate import RateMeter
 from .const import (
@@ -268,7 +268,7 @@
         return self.limit.allows(
             in_use=self._in_use(up_to_rank),
             prefill=work.prefill_tokens,
-            decode=work.decode_tokens,
+            decode=decode_cost(work),
         )
 
     def _in_use(self, up_to_rank: int) -> InUse:
@@ -278,7 +278,7 @@
         ]
         return InUse(
             prefill=sum(item.prefill_tokens for item in counted),
-            decode=sum(item.work.decode_tokens for item in counted),
+            decode=sum(decode_cost(item.work) for item in counted),
         )
 
     def _relieve_late(self, now_ms: int) -> list[Effect]:
@@ -332,7 +332,7 @@
         if rate <= 0:
             return float("inf")
         in_use = self._in_use(TIER_COUNT)
-        short = in_use.decode + work.decode_tokens - self.limit.decode.tokens
+        short = in_use.decode + decode_cost(work) - self.limit.decode.tokens
         if in_use.prefill:
             missing = in_use.prefill + work.prefill_tokens - self.limit.prefill.tokens
             short = max(short, missing)
--- a/pistachiohaven/components/admission/_limit.py
+++ b/pistachiohaven/components/admission/_limit.py
@@ -3,6 +3,7 @@
 from dataclasses import dataclass
 
 from pistachiohaven.const import BETWEEN_TOKENS_TARGET_MS, FIRST_TOKEN_TARGET_MS
+from pistachiohaven.core import Work
 from pistachiohaven.helpers import Ewma
 
 from .const import (
@@ -19,6 +20,7 @@
     MIN_PREFILL_TOKENS,
     QUEUE_DELAY_TARGET_MS,
     SOLO_SMOOTHING,
+    STREAM_TOKENS,
 )
 
 
@@ -63,6 +65,11 @@
         self.tokens = max(base * DECREASE_FACTOR, self._floor)
 
 
+def decode_cost(work: Work) -> int:
+    """Return what a stream takes of the decode limit, its place in the batch too."""
+    return work.decode_tokens + STREAM_TOKENS
+
+
 @dataclass(frozen=True, slots=True, kw_only=True)
 class InUse:
     """Hold the tokens that running work takes of each limit."""
--- a/pistachiohaven/components/admission/const.py
+++ b/pistachiohaven/components/admission/const.py
@@ -44,3 +44,6 @@
 RATE_SMOOTHING: Final = 0.3
 SOLO_SMOOTHING: Final = 0.05
 DELAY_SMOOTHING: Final = 0.1
+
+STREAM_TOKENS: Final = 128
+"""Tokens that a stream's place in the engine's batch counts for."""
--- a/pistachiohaven/components/entry/_request.py
+++ b/pistachiohaven/components/entry/_request.py
@@ -14,7 +14,7 @@
 )
 from pistachiohaven.components.peer import StageAnswer
 from pistachiohaven.components.retry import RetryBudgets
-from pistachiohaven.components.routing import Router, TargetView
+from pistachiohaven.components.routing import Lower, Router, TargetView
 from pistachiohaven.core import NOT_BURIED, Outcome, Reason, Work
 
 from .const import DEFAULT_RETRY_AFTER_MS, MAX_ATTEMPTS
@@ -325,6 +325,7 @@
     def _(self, event: Looked, *, now_ms: int) -> Action:
         asked_ms = now_ms if self._look_ms is None else self._look_ms
         self._router.looked(self.work, asked_ms=asked_ms)
+        self._tried = []
         return self._next_target(now_ms=now_ms, release=self._look_release)
 
     @handle.register
@@ -365,14 +366,18 @@
         return self._send_claim(name, view.incarnation, release, now_ms=now_ms)
 
     def _pick(self, *, now_ms: int) -> TargetView | None:
-        """Return the next target; one with less urgent work if this rank is shed."""
+        """Return the next target.
+
+        Once this rank finds no room, targets with less urgent work go first; after
+        the last look only they are left, those that refused before the look too.
+        """
         floor = self._router.floor(self.work.pool)
         shed = floor.refuses(self.work.rank, now_ms=now_ms)
+        lower = Lower.FIRST if shed or self._tried else Lower.ANY
+        if self._look_ms is not None:
+            lower = Lower.ONLY
         return self._router.pick(
-            self.work,
-            tried=self._tried,
-            lower_first=shed or bool(self._tried),
-            now_ms=now_ms,
+            self.work, tried=self._tried, lower=lower, now_ms=now_ms
         )
 
     def _why_stop(self, view: TargetView | None, *, now_ms: int) -> Reason | None:
--- a/pistachiohaven/components/routing/__init__.py
+++ b/pistachiohaven/components/routing/__init__.py
@@ -1,6 +1,6 @@
 """Route requests over unlike engines."""
 
-from ._core import Router
+from ._core import Lower, Router
 from ._policies import (
     LeastReportedPolicy,
     Policy,
@@ -13,6 +13,7 @@
 
 __all__ = [
     "LeastReportedPolicy",
+    "Lower",
     "Policy",
     "PredictivePolicy",
     "RandomPolicy",
--- a/pistachiohaven/components/routing/_core.py
+++ b/pistachiohaven/components/routing/_core.py
@@ -3,6 +3,7 @@
 import random
 from collections.abc import Iterable, Sequence
 from dataclasses import dataclass
+from enum import StrEnum
 
 from pistachiohaven.components.admission import FloorNews, ShedFloor
 from pistachiohaven.components.membership import Membership, choose_subset
@@ -16,6 +17,14 @@
 from .const import FLOOR_MS, REPORT_FRESH_MS
 
 
+class Lower(StrEnum):
+    """Say how targets that hold less urgent work are preferred."""
+
+    ANY = "any"
+    FIRST = "first"
+    ONLY = "only"
+
+
 @dataclass(frozen=True, slots=True, kw_only=True)
 class _Look:
     """Hold for whom the targets of a pool were asked, and how long that counts."""
@@ -118,22 +127,19 @@
         work: Work,
         *,
         tried: Sequence[str] = (),
-        lower_first: bool = False,
+        lower: Lower = Lower.ANY,
         now_ms: int,
     ) -> TargetView | None:
-        """Return the target for `work`, or None if none may be offered it.
-
-        With `lower_first`, targets that hold less urgent work are chosen if any are.
-        """
+        """Return the target for `work`, or None if none may be offered it."""
         views = [
             view
             for view in self._pools.get(work.pool, ())
             if view.instance.name not in tried
             and view.usable(rank=work.rank, now_ms=now_ms)
         ]
-        if lower_first:
-            lower = [view for view in views if view.lowest_held > work.rank]
-            views = lower or views
+        if lower is not Lower.ANY:
+            holders = [view for view in views if view.lowest_held > work.rank]
+            views = holders if lower is Lower.ONLY else holders or views
         if not views:
             return None
         self._turn += 1
