--- a/pistachiohaven/components/cli/_commands.py
+++ b/pistachiohaven/components/cli/_commands.py
@@ -55,6 +55,31 @@
         for origin in explain(tree, path):
             sys.stdout.write(f"{origin.name} = {origin.value}  from {origin.path}\n")
 
+    def status(self, url: str) -> None:
+        """Print what the entry or sidecar at URL (ip:port) knows."""
+        from ._status import fetch_status  # noqa: PLC0415
+
+        sys.stdout.write(fetch_status(url))
+
+    def load(self, url: str, *, settings: str, as_json: bool = False) -> None:
+        """Send the load of the settings file SETTINGS to the entries at URL."""
+        from pistachiohaven.components.load import run_load  # noqa: PLC0415
+
+        report = run_load(url, settings)
+        sys.stdout.write(report.json() if as_json else report.text())
+        if report.broken():
+            sys.exit(1)
+
+    def measure(
+        self, name: str, *, seed: int = 1, histories: int = 0, plot: str = ""
+    ) -> None:
+        """Measure routing, overload, spread, once or price on the core."""
+        from pistachiohaven.components.measure.command import (  # noqa: PLC0415
+            measure,
+        )
+
+        sys.stdout.write(measure(name, seed=seed, histories=histories, plot=plot))
+
 
 def _read_tree(file: str) -> Tree:
     """Return the tree in `file`; SettingsError names every fault."""
--- a/pistachiohaven/components/measure/_once.py
+++ b/pistachiohaven/components/measure/_once.py
@@ -112,6 +112,18 @@
     outcomes: dict[str, int] = field(default_factory=dict)
     faults: list[str] = field(default_factory=list)
 
+    def add(self, other: "Verdict") -> None:
+        """Add the findings of other histories."""
+        self.histories += other.histories
+        self.tries += other.tries
+        self.doubles += other.doubles
+        self.ran_but_told_not += other.ran_but_told_not
+        self.wrong_answers += other.wrong_answers
+        self.overlooked += other.overlooked
+        self.faults += other.faults
+        for name, number in other.outcomes.items():
+            self.outcomes[name] = self.outcomes.get(name, 0) + number
+
     def broken(self) -> int:
         """Return the number of broken promises."""
         return (
@@ -360,17 +372,22 @@
 class History:
     """Run one seeded history with several entries, sidecars and lists."""
 
-    def __init__(self, *, seed: int, home_kind: type[KeyHome] = KeyHome) -> None:
+    def __init__(
+        self,
+        *,
+        seed: int,
+        home_kind: type[KeyHome] = KeyHome,
+        fault_kinds: tuple[str, ...] = FAULT_KINDS,
+        lossless: bool = False,
+    ) -> None:
         self.rng = random.Random(seed)
         self.seed = seed
         self.events = EventQueue()
+        self._fault_kinds = fault_kinds
         loss = self.rng.choice((0.0, 0.02, 0.2))
         duplicate = self.rng.choice((0.0, 0.1, 0.3))
-        self.network = Network(
-            events=self.events,
-            rng=self.rng,
-            faults=Faults(loss=loss, duplicate=duplicate),
-        )
+        faults = Faults() if lossless else Faults(loss=loss, duplicate=duplicate)
+        self.network = Network(events=self.events, rng=self.rng, faults=faults)
         self.jobs: dict[str, Job] = {}
         self.told: list[Told] = []
         self.tries = 0
@@ -492,7 +509,9 @@
 
     def _fault(self) -> None:
         """Hurt something."""
-        kind = self.rng.choice(FAULT_KINDS)
+        if not self._fault_kinds:
+            return
+        kind = self.rng.choice(self._fault_kinds)
         sidecar = self.rng.choice(list(self.sidecars.values()))
         entry = self.rng.choice(self.entries)
         length_ms = self.rng.choice((300, 3_000, 30_000))
@@ -590,14 +609,5 @@
     """Run `count` histories from `first_seed` on and add up their verdicts."""
     total = Verdict()
     for seed in range(first_seed, first_seed + count):
-        verdict = History(seed=seed, home_kind=home_kind).run()
-        total.histories += verdict.histories
-        total.tries += verdict.tries
-        total.doubles += verdict.doubles
-        total.ran_but_told_not += verdict.ran_but_told_not
-        total.wrong_answers += verdict.wrong_answers
-        total.overlooked += verdict.overlooked
-        total.faults += verdict.faults
-        for name, number in verdict.outcomes.items():
-            total.outcomes[name] = total.outcomes.get(name, 0) + number
+        total.add(History(seed=seed, home_kind=home_kind).run())
     return total
--- /dev/null
+++ b/pistachiohaven/components/measure/command.py
@@ -0,0 +1,34 @@
+"""Run one measurement by name."""
+
+from collections.abc import Callable
+
+from pistachiohaven.exceptions import SettingsError
+
+from ._overload import measure_overload
+from ._plot import plot_overload
+from ._price import measure_once, measure_price
+from ._routing import measure_routing
+from ._spread import measure_spread
+from ._table import Table
+
+MEASUREMENTS: dict[str, Callable[..., Table]] = {
+    "routing": measure_routing,
+    "overload": measure_overload,
+    "spread": measure_spread,
+    "once": measure_once,
+    "price": measure_price,
+}
+DEFAULT_HISTORIES = 1_000
+
+
+def measure(name: str, *, seed: int, histories: int, plot: str) -> str:
+    """Return the table of the measurement `name` as text."""
+    if name not in MEASUREMENTS:
+        known = ", ".join(MEASUREMENTS)
+        raise SettingsError(f"no measurement called {name}: {known}")
+    if name == "once":
+        return measure_once(seed=seed, count=histories or DEFAULT_HISTORIES).text()
+    table = MEASUREMENTS[name](seed=seed)
+    if plot and name == "overload":
+        plot_overload(table, plot)
+    return table.text()
