--- a/pistachiohaven/components/entry/_exchange.py
+++ b/pistachiohaven/components/entry/_exchange.py
@@ -10,7 +10,7 @@
 from result import Err, Ok, Result
 
 from pistachiohaven.components.admission import FloorNews
-from pistachiohaven.components.dispatch import Claim, Key, Ticket
+from pistachiohaven.components.dispatch import Claim, Key, Stage, Ticket
 from pistachiohaven.components.node import Node
 from pistachiohaven.components.peer import (
     AbandonMessage,
@@ -374,10 +374,19 @@
             message = known.ok_value
             return AlreadyKnown(request_id=message.request_id, stage=message.stage)
     if status == wire.STATUS_GONE:
-        return AnswerGone()
+        return _gone(content)
     if status == wire.STATUS_REFUSED:
         refused = decode(content, RefusalMessage)
         if isinstance(refused, Ok):
             refusal = refused.ok_value
             return Refused(reason=refusal.reason, retry_after_ms=refusal.retry_after_ms)
     return Silent()
+
+
+def _gone(content: bytes) -> Event:
+    """Return why a dispatched request has no answer to send."""
+    gone = decode(content, RefusalMessage)
+    if isinstance(gone, Err) or gone.ok_value.reason is Reason.ANSWER_NOT_KEPT:
+        return AnswerGone()
+    cut = StageAnswer(request_id="", stage=Stage.CUT, reason=gone.ok_value.reason)
+    return Staged(answer=cut)
--- a/pistachiohaven/components/sidecar/_app.py
+++ b/pistachiohaven/components/sidecar/_app.py
@@ -171,7 +171,7 @@
             return
         answer = self._runner.answers.get(message.request_id)
         if message.incarnation != self._core.incarnation or answer is None:
-            await self._reply(send, wire.STATUS_GONE, self._gone())
+            await self._reply(send, wire.STATUS_GONE, _gone(Reason.ANSWER_NOT_KEPT))
             return
         await self._stream(
             message.request_id, answer, message.offset_bytes, receive, send
@@ -188,7 +188,7 @@
         """Send an answer from `offset_bytes` on, until its end or the reader's."""
         reader = answer.open_reader(offset_bytes)
         if reader is None:
-            await self._reply(send, wire.STATUS_GONE, self._gone())
+            await self._reply(send, wire.STATUS_GONE, _gone(Reason.ANSWER_NOT_KEPT))
             return
         try:
             async with trio.open_nursery() as nursery:
@@ -206,7 +206,8 @@
             await self._refuse(send, reason, answer.retry_after_ms)
             return
         if not answer.status:
-            await self._reply(send, wire.STATUS_GONE, self._gone())
+            reason = answer.reason or Reason.TARGET_FAILED
+            await self._reply(send, wire.STATUS_GONE, _gone(reason))
             return
         headers = [
             (b"content-type", answer.content_type),
@@ -316,11 +317,10 @@
         now_ms = self._node.clock.now_ms()
         return self._core.report(now_ms=now_ms, **self._heights())
 
-    @staticmethod
-    def _gone() -> RefusalMessage:
-        return RefusalMessage(
-            reason=Reason.ANSWER_NOT_KEPT, retry_after_ms=0, buried=False
-        )
+
+def _gone(reason: Reason) -> RefusalMessage:
+    """Say that a dispatched request has no answer to send, and why."""
+    return RefusalMessage(reason=reason, retry_after_ms=0, buried=False)
 
 
 async def _watch_reader(receive: Receive, scope: trio.CancelScope) -> None:
