--- /dev/null
+++ b/benchmarks/__init__.py
@@ -0,0 +1,1 @@
+"""Measure processor time and memory on this machine."""
--- /dev/null
+++ b/benchmarks/core.py
@@ -0,0 +1,273 @@
+"""Time the core's decisions and weigh its state."""
+
+import gc
+import random
+import time
+import tracemalloc
+from collections.abc import Callable, Iterable
+
+from pistachiohaven.components.admission import Admission
+from pistachiohaven.components.dispatch import Claim, DispatchRecord, KeyHome
+from pistachiohaven.components.measure._spread import make_fleet_tree
+from pistachiohaven.components.measure._table import Table
+from pistachiohaven.components.membership import ListRead, ListVersion, Membership
+from pistachiohaven.components.peer import decode, encode
+from pistachiohaven.components.routing import Router
+from pistachiohaven.components.routing._view import TargetView
+from pistachiohaven.components.settings import SettingsStore, difference
+from pistachiohaven.components.sidecar import SidecarCore
+from pistachiohaven.components.spread import Spread, Sync
+from pistachiohaven.core import Instance, Reason, Work
+from pistachiohaven.helpers import make_uuid7
+
+WALL_MS = 1_800_000_000_000
+FLEET = 6_380
+
+
+def make_work(number: int) -> Work:
+    """Return one small request."""
+    return Work(
+        request_id=f"01a23dbb-0243-79b3-9a0d-{number:012x}",
+        organisation=f"org-{number % 340}",
+        rank=number % 4,
+        weight=1.0,
+        pool="draft",
+        prefill_tokens=200,
+        decode_tokens=100,
+        idempotent=True,
+        max_queue_ms=60_000,
+        prefix=f"p{number % 50}",
+    )
+
+
+def make_instances(count: int) -> tuple[Instance, ...]:
+    """Return listed sidecars of one pool."""
+    return tuple(
+        Instance(
+            name=f"sidecar-{number}",
+            role="sidecar",
+            data_centre=f"dc-{number % 5}",
+            region="west",
+            address=f"10.0.{number // 250}.{number % 250}:7000",
+            pools=("draft",),
+        )
+        for number in range(count)
+    )
+
+
+def make_membership(count: int) -> Membership:
+    """Return a list of `count` sidecars."""
+    version = ListVersion(
+        version=1, published_ms=WALL_MS, changed=make_instances(count)
+    )
+    membership = Membership()
+    membership.take_read(
+        ListRead(versions=(version,), as_of_ms=WALL_MS + 120_000, snapshot=True)
+    )
+    return membership
+
+
+def microseconds(act: Callable[[int], object], times: int) -> float:
+    """Return the processor time of one `act`, the least of three rounds."""
+    rounds = []
+    for _round in range(3):
+        start = time.process_time()
+        for number in range(times):
+            act(number)
+        rounds.append((time.process_time() - start) / times * 1e6)
+    return min(rounds)
+
+
+def bytes_each(make: Callable[[int], object], count: int) -> float:
+    """Return the memory that one more made thing takes."""
+    gc.collect()
+    tracemalloc.start()
+    kept = [make(number) for number in range(count)]
+    gc.collect()
+    size = tracemalloc.get_traced_memory()[0]
+    tracemalloc.stop()
+    return size / len(kept)
+
+
+def time_decisions(table: Table) -> None:
+    """Time the choice of a target against the targets known."""
+    for known in (10, 24, 100, 1_000):
+        membership = make_membership(known)
+        router = Router(entry="e", rng=random.Random(1), subset_size=known)
+        router.rebuild(membership, ["draft"])
+        for instance in make_instances(known):
+            report = SidecarCore(name=instance.name, incarnation="i")
+            report.lifecycle.serve()
+            router.take_report(report.report(now_ms=0), measured_ms=0)
+
+        def decide(number: int, router: Router = router) -> None:
+            work = make_work(number)
+            view = router.pick(work, now_ms=1)
+            assert view is not None
+            if number % 50 == 0:
+                view.take_report(view.report, measured_ms=2)  # type: ignore[arg-type]
+
+        table.add(f"choose a target of {known}, us", f"{microseconds(decide, 500):.0f}")
+
+
+def time_admission(table: Table) -> None:
+    """Time one request through the sidecar's core."""
+    core = SidecarCore(name="s", incarnation="s#1")
+    core.lifecycle.serve()
+    from pistachiohaven.components.peer import OfferFacts  # noqa: PLC0415
+
+    def serve(_number: int) -> None:
+        serve.count += 1  # type: ignore[attr-defined]
+        work = make_work(serve.count)  # type: ignore[attr-defined]
+        facts = OfferFacts(work=work, attempt=1, incarnation="s#1", stamp_ms=WALL_MS)
+        core.offer(facts, now_ms=0, wall_ms=WALL_MS)
+        core.first_byte(work.request_id, now_ms=0)
+        core.ended(work.request_id, tokens=100, cut=None, now_ms=1)
+
+    serve.count = 0  # type: ignore[attr-defined]
+    table.add("admit, run and end a request, us", f"{microseconds(serve, 2_000):.0f}")
+
+
+def time_settings(table: Table) -> None:
+    """Time settings at the size of 340 organisations."""
+    old, new = make_fleet_tree(1), make_fleet_tree(2)
+    store = SettingsStore()
+    store.accept_tree(old)
+    paths = [path for path in old.nodes if path]
+
+    def resolve(number: int) -> None:
+        store.leaf(paths[number % len(paths)])
+
+    first = microseconds(lambda _n: [resolve(n) for n in range(len(paths))], 1)
+    table.add("resolve each of 1360 leaves, us a leaf", f"{first / len(paths):.1f}")
+    delta = difference(old, new)
+
+    def take_edit(_number: int) -> None:
+        fresh = SettingsStore()
+        fresh.accept_tree(old)
+        fresh.accept_delta(delta)
+
+    def take_tree(_number: int) -> None:
+        SettingsStore().accept_tree(old)
+
+    cost = microseconds(take_edit, 20) - microseconds(take_tree, 20)
+    table.add("take in one edit by delta, us", f"{cost:.0f}")
+    table.add("bytes of one edit as a delta", len(encode(delta)))
+
+
+def time_spread(table: Table) -> None:
+    """Time what a node does for one comparison with a peer."""
+    membership = make_membership(FLEET)
+
+    def make_node(name: str) -> Spread:
+        store = SettingsStore()
+        store.accept_tree(make_fleet_tree(1))
+        return Spread(
+            name=name,
+            data_centre="dc-1",
+            settings=store,
+            membership=membership,
+            rng=random.Random(1),
+            started_wall_ms=WALL_MS,
+        )
+
+    asker, asked = make_node("sidecar-1"), make_node("sidecar-2")
+
+    def compare(_number: int) -> None:
+        sync = decode(encode(Sync(known=asker.known())), Sync).unwrap()
+        news = asked.take_sync(sync)
+        asker.take_news(decode(encode(news), type(news)).unwrap())
+
+    table.add(
+        "compare with a peer, both sides, us", f"{microseconds(compare, 500):.0f}"
+    )
+    choose = microseconds(lambda _n: asker.choose_peers(4), 500)
+    table.add(f"choose 4 peers of {FLEET}, us", f"{choose:.0f}")
+
+
+def time_homes(table: Table) -> None:
+    """Time finding the home of a key, and taking in a change of the list."""
+    membership = make_membership(FLEET)
+    rng = random.Random(1)
+
+    def find(_number: int) -> None:
+        key = make_uuid7(wall_ms=WALL_MS + 70_000, rng=rng)
+        membership.home_of(key=key, stamp_ms=WALL_MS + 70_000).unwrap()
+
+    table.add(f"find a key's home of {FLEET}, us", f"{microseconds(find, 500):.0f}")
+    started = time.process_time()
+    make_membership(FLEET)
+    cost = (time.process_time() - started) * 1e3
+    table.add(f"take in a list of {FLEET}, ms", f"{cost:.0f}")
+
+
+def weigh(table: Table) -> None:
+    """Weigh each kind of state."""
+    rng = random.Random(1)
+    keys = [make_uuid7(wall_ms=WALL_MS + 90_000, rng=rng) for _n in range(3_000)]
+    home = KeyHome(name="h", incarnation="h1", started_wall_ms=WALL_MS)
+
+    def claim(number: int) -> object:
+        asked = Claim(
+            organisation=f"org-{number % 340}",
+            key=keys[number],
+            request_id=f"r{number}",
+            fingerprint=f"{number:032x}",
+            sidecar="sidecar-1",
+            incarnation="i",
+        )
+        return home.claim(asked, now_ms=0, wall_ms=WALL_MS + 90_000)
+
+    table.add("remembered key at its home, bytes", f"{bytes_each(claim, 3_000):.0f}")
+    record = DispatchRecord()
+
+    def bury(number: int) -> None:
+        record.refuse(
+            dispatch_id=f"org/{keys[number]}",
+            request_id=keys[number],
+            attempt=1,
+            keyed=True,
+            reason=Reason.OVERLOAD,
+            now_ms=0,
+        )
+
+    table.add("remembered request, bytes", f"{bytes_each(bury, 3_000):.0f}")
+    admission = Admission()
+    admission.offer(make_work(0), now_ms=0)
+
+    def queue(number: int) -> object:
+        return admission.offer(make_work(number + 1), now_ms=0)
+
+    table.add("queued request, bytes", f"{bytes_each(queue, 200):.0f}")
+    instances = make_instances(2_000)
+    view = bytes_each(lambda n: TargetView(instance=instances[n]), 2_000)
+    table.add("known target of an entry, bytes", f"{view:.0f}")
+    listed = bytes_each(lambda _n: make_membership(FLEET), 1) / FLEET
+    table.add("listed instance, bytes", f"{listed:.0f}")
+    node = bytes_each(lambda _n: make_fleet_tree(1), 1) / 1_361
+    table.add("node of the settings tree, bytes", f"{node:.0f}")
+
+
+def run(parts: Iterable[Callable[[Table], None]]) -> Table:
+    """Run each part into one table."""
+    table = Table(title="core", columns=("what", "figure"))
+    for part in parts:
+        part(table)
+    return table
+
+
+def main() -> None:
+    """Print the table."""
+    parts = (
+        time_decisions,
+        time_admission,
+        time_settings,
+        time_spread,
+        time_homes,
+        weigh,
+    )
+    print(run(parts).text())
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/tests/test_layout.py
@@ -0,0 +1,52 @@
+"""Test that the core imports no library that reads or writes."""
+
+import ast
+from pathlib import Path
+
+import pytest
+
+PACKAGE = Path(__file__).parent.parent / "pistachiohaven"
+IO_LIBRARIES = {"trio", "httpcore", "hypercorn", "socket", "eliot", "prometheus_client"}
+CORE_PARTS = (
+    "admission",
+    "dispatch",
+    "lifecycle",
+    "membership",
+    "peer",
+    "retry",
+    "routing",
+    "settings",
+    "spread",
+)
+CORE_FILES = [
+    *(
+        path
+        for part in CORE_PARTS
+        for path in (PACKAGE / "components" / part).glob("*")
+    ),
+    PACKAGE / "components" / "entry" / "_request.py",
+    PACKAGE / "components" / "sidecar" / "_core.py",
+    PACKAGE / "core.py",
+]
+
+
+def imported(path: Path) -> set[str]:
+    names: set[str] = set()
+    for node in ast.walk(ast.parse(path.read_text())):
+        if isinstance(node, ast.Import):
+            names |= {alias.name.split(".")[0] for alias in node.names}
+        if isinstance(node, ast.ImportFrom) and node.module and not node.level:
+            names.add(node.module.split(".")[0])
+    return names
+
+
+@pytest.mark.parametrize(
+    "path", [path for path in CORE_FILES if path.suffix == ".py"], ids=str
+)
+def test_core_imports_no_io(path: Path) -> None:
+    assert not imported(path) & IO_LIBRARIES
+
+
+def test_only_tests_and_scripts_start_processes() -> None:
+    for path in PACKAGE.rglob("*.py"):
+        assert not imported(path) & {"subprocess", "multiprocessing"}, path
