Hash only what an edit changes; take in a whole list with one sort; grow on first tokens

Change: the digest moves by what changed; many members are added with one sort; a first token in time lets both limits grow.

--- a/pistachiohaven/components/admission/_limit.py
+++ b/pistachiohaven/components/admission/_limit.py
@@ -134,8 +134,7 @@
         if waited_ms > allowed_ms - QUEUE_DELAY_TARGET_MS // 2:
             return
         self.prefill.good(in_use=in_use.prefill, now_ms=now_ms)
-        if prompt_tokens == 0:
-            self.decode.good(in_use=in_use.decode, now_ms=now_ms)
+        self.decode.good(in_use=in_use.decode, now_ms=now_ms)
 
     def late(self, *, in_use: InUse, now_ms: int) -> None:
         """Take in that a first token is late.
--- a/pistachiohaven/components/membership/_core.py
+++ b/pistachiohaven/components/membership/_core.py
@@ -110,10 +110,10 @@
         for item in version.changed:
             self._by_name[item.name] = item
             self._addresses[item.name] = item
-            if item.role == ROLE_SIDECAR and not item.leaving:
-                self._ring.open_spell(item.name, since_ms=at_ms)
-            else:
+            if not _may_be_home(item):
                 self._ring.close_spell(item.name, until_ms=at_ms)
+        homes = [item.name for item in version.changed if _may_be_home(item)]
+        self._ring.open_spells(homes, since_ms=at_ms)
         for name in version.removed:
             self._by_name.pop(name, None)
             self._ring.close_spell(name, until_ms=at_ms)
@@ -131,3 +131,8 @@
         }
         if self._known_from_ms is not None:
             self._known_from_ms = max(self._known_from_ms, limit_ms)
+
+
+def _may_be_home(instance: Instance) -> bool:
+    """Return True if keys may be homed at `instance`."""
+    return instance.role == ROLE_SIDECAR and not instance.leaving
--- a/pistachiohaven/components/membership/_ring.py
+++ b/pistachiohaven/components/membership/_ring.py
@@ -2,12 +2,15 @@
 
 from array import array
 from bisect import bisect_left
+from collections.abc import Iterable
 from dataclasses import dataclass
 from typing import Final
 
 from pistachiohaven.helpers import stable_hash
 
 POINTS_PER_INSTANCE: Final = 8
+BULK_COUNT: Final = 64
+"""New members from which one sort is cheaper than single insertions."""
 
 
 @dataclass(slots=True, kw_only=True)
@@ -34,8 +37,15 @@
     def __contains__(self, name: object) -> bool:
         return name in self._index
 
-    def open_spell(self, name: str, *, since_ms: int) -> None:
-        """Make `name` eligible from `since_ms` on."""
+    def open_spells(self, names: Iterable[str], *, since_ms: int) -> None:
+        """Make `names` eligible from `since_ms` on."""
+        new = [name for name in names if name not in self._index]
+        if len(new) > BULK_COUNT:
+            self._add_many(new)
+        for name in names:
+            self._open_spell(name, since_ms=since_ms)
+
+    def _open_spell(self, name: str, *, since_ms: int) -> None:
         if name not in self._index:
             self._add_points(name)
         spells = self._spells.setdefault(name, [])
@@ -78,12 +88,24 @@
                 return True
         return False
 
-    def _add_points(self, name: str) -> None:
-        owner = len(self._names)
+    def _add_many(self, names: list[str]) -> None:
+        """Add many members at once: one sort in place of many shifts."""
+        owned = list(zip(self._points, self._owners, strict=True))
+        for name in names:
+            owner = self._add_name(name)
+            owned += [(point, owner) for point in _points_of(name)]
+        owned.sort()
+        self._points = array("Q", (point for point, _owner in owned))
+        self._owners = array("L", (owner for _point, owner in owned))
+
+    def _add_name(self, name: str) -> int:
         self._names.append(name)
-        self._index[name] = owner
-        for number in range(POINTS_PER_INSTANCE):
-            point = stable_hash(name, str(number))
+        self._index[name] = len(self._names) - 1
+        return self._index[name]
+
+    def _add_points(self, name: str) -> None:
+        owner = self._add_name(name)
+        for point in _points_of(name):
             place = bisect_left(self._points, point)
             self._points.insert(place, point)
             self._owners.insert(place, owner)
@@ -94,3 +116,8 @@
         kept = [place for place, holder in enumerate(self._owners) if holder != owner]
         self._points = array("Q", (self._points[place] for place in kept))
         self._owners = array("L", (self._owners[place] for place in kept))
+
+
+def _points_of(name: str) -> list[int]:
+    """Return the places of a member on the ring."""
+    return [stable_hash(name, str(number)) for number in range(POINTS_PER_INSTANCE)]
--- a/pistachiohaven/components/settings/_core.py
+++ b/pistachiohaven/components/settings/_core.py
@@ -2,6 +2,7 @@
 
 from dataclasses import dataclass, replace
 from enum import StrEnum
+from typing import TypeAlias
 
 import msgspec
 import xxhash
@@ -20,6 +21,9 @@
 from ._parse import parse_yaml
 from .const import DELTAS_KEPT, MAX_TREE_BYTES, ROOT, SEPARATOR
 
+Changes: TypeAlias = dict[str, Overrides | None]
+"""What an edit changes, by path; None removes a node."""
+
 LEAF_DEPTH = 3
 """Number of names in the path of a leaf: organisation, application, tier."""
 
@@ -71,6 +75,17 @@
     return f"{total:016x}"
 
 
+def changed_tree(tree: Tree, *, revision: int, changes: Changes) -> Tree:
+    """Return `tree` with `changes` applied; only what changed is hashed anew."""
+    total = int(tree.digest, 16)
+    for path, overrides in changes.items():
+        before = tree.nodes.get(path)
+        total ^= 0 if before is None else _node_hash(path, before)
+        total ^= 0 if overrides is None else _node_hash(path, overrides)
+    nodes = apply_changes(tree.nodes, changes)
+    return Tree(revision=revision, nodes=nodes, digest=f"{total:016x}")
+
+
 def make_tree(*, revision: int, nodes: dict[str, Overrides]) -> Tree:
     """Return a tree with its digest worked out."""
     return Tree(revision=revision, nodes=nodes, digest=_digest(nodes))
@@ -208,8 +223,9 @@
             return Acceptance.STALE
         if self._tree is None or delta.from_revision != self.revision:
             return Acceptance.GAP
-        nodes = apply_changes(self._tree.nodes, delta.changes)
-        tree = make_tree(revision=delta.to_revision, nodes=nodes)
+        tree = changed_tree(
+            self._tree, revision=delta.to_revision, changes=delta.changes
+        )
         if tree.digest != delta.digest:
             return Acceptance.CORRUPT
         self._remember(delta)
@@ -238,7 +254,7 @@
 
 
 def apply_changes(
-    nodes: dict[str, Overrides], changes: dict[str, Overrides | None]
+    nodes: dict[str, Overrides], changes: Changes
 ) -> dict[str, Overrides]:
     """Return `nodes` with `changes` applied."""
     changed = dict(nodes)
