Gather the events of a stream for 40 ms into one write

Cause: an entry at the design size carries 9,500 streamed events a second; each cost it about 0.3 ms, one wake-up, parse and write each. Ruled out: parsing of the answer (it passes through unparsed). Change: a sidecar sends the first event at once and then lets events gather for 40 ms, below the 67 ms allowed between tokens; the end of an answer is not waited past.

--- a/pistachiohaven/components/sidecar/_answer.py
+++ b/pistachiohaven/components/sidecar/_answer.py
@@ -5,7 +5,7 @@
 
 import trio
 
-from pistachiohaven.const import MAX_ANSWER_BUFFER_BYTES
+from pistachiohaven.const import MAX_ANSWER_BUFFER_BYTES, MS_PER_S
 from pistachiohaven.core import Reason
 
 UNREAD_LIMIT_BYTES: Final = MAX_ANSWER_BUFFER_BYTES
@@ -39,6 +39,7 @@
         self.readers: dict[int, int] = {}
         self._buffer = bytearray()
         self._news = trio.Event()
+        self._end = trio.Event()
         self._next_reader = 0
 
     @property
@@ -74,6 +75,7 @@
             return
         self.state = state
         self.reason = reason
+        self._end.set()
         self._wake()
 
     def open_reader(self, offset_bytes: int) -> int | None:
@@ -107,6 +109,15 @@
                 return b""
             await self._news.wait()
 
+    async def gather(self, *, within_ms: int) -> None:
+        """Let what comes within a moment gather into one write.
+
+        The end of the answer is not waited past.
+        """
+        if not self.ended:
+            with trio.move_on_after(within_ms / MS_PER_S):
+                await self._end.wait()
+
     async def room(self) -> None:
         """Wait until the slowest reader has taken enough of what is held."""
         while self.readers and not self.ended:
--- a/pistachiohaven/components/sidecar/_app.py
+++ b/pistachiohaven/components/sidecar/_app.py
@@ -44,7 +44,7 @@
 from ._core import SidecarCore
 from ._models import Known
 from ._runner import Runner
-from .const import OFFER_ROOM_BYTES, OFFER_TIMEOUT_MS
+from .const import GATHER_MS, OFFER_ROOM_BYTES, OFFER_TIMEOUT_MS
 
 MessageT = TypeVar("MessageT")
 Headers: TypeAlias = list[tuple[bytes, bytes]]
@@ -217,6 +217,7 @@
         await start_stream(send, status=wire.STATUS_DISPATCHED, headers=headers)
         while chunk := await answer.read(reader):
             await send({"type": "http.response.body", "body": chunk, "more_body": True})
+            await answer.gather(within_ms=GATHER_MS)
         # A cut answer is left without its end, so that no reader takes it for whole.
         if answer.state is AnswerState.WHOLE:
             await send({"type": "http.response.body", "body": b""})
--- a/pistachiohaven/components/sidecar/const.py
+++ b/pistachiohaven/components/sidecar/const.py
@@ -23,3 +23,9 @@
 """Bytes that an offer's facts take beside the caller's body."""
 
 OFFER_TIMEOUT_MS: Final = 10_000
+
+GATHER_MS: Final = 40
+"""Time for which events of one stream gather into one write.
+
+Below the 67 ms that may lie between tokens; the first event is never held.
+"""
