--- a/pistachiohaven/components/admission/_core.py
+++ b/pistachiohaven/components/admission/_core.py
@@ -5,6 +5,7 @@
 from pistachiohaven.const import MS_PER_S, NO_RANK, TIER_COUNT
 from pistachiohaven.core import Reason, Work
 
+from ._effects import Dispatch, Effect, Preempt, Refuse
 from ._floor import FloorNews, ShedFloor
 from ._limit import EngineLimit, InUse, decode_cost
 from ._queue import TierQueue, Waiting, cost_tokens
@@ -23,33 +24,6 @@
 )
 
 
-@dataclass(frozen=True, slots=True, kw_only=True)
-class Dispatch:
-    """Hand the request to the target now."""
-
-    work: Work
-
-
-@dataclass(frozen=True, slots=True, kw_only=True)
-class Refuse:
-    """Refuse an undispatched request for good."""
-
-    work: Work
-    reason: Reason
-    retry_after_ms: int
-
-
-@dataclass(frozen=True, slots=True, kw_only=True)
-class Preempt:
-    """Cancel a running request; `wasted_tokens` is the prefill it loses."""
-
-    work: Work
-    wasted_tokens: int
-
-
-Effect = Dispatch | Refuse | Preempt
-
-
 @dataclass(slots=True, kw_only=True)
 class Running:
     """Hold one dispatched request; times are monotonic milliseconds.
--- a/pistachiohaven/components/cli/_commands.py
+++ b/pistachiohaven/components/cli/_commands.py
@@ -7,13 +7,13 @@
 
 from pistachiohaven import bootstrap
 from pistachiohaven.components.settings import (
-    Leaf,
     Tree,
     explain,
     leaf_paths,
     parse_tree,
     resolve,
 )
+from pistachiohaven.config import EntrySettings, NodeSettings, SidecarSettings, load
 from pistachiohaven.exceptions import SettingsError
 
 
@@ -33,17 +33,14 @@
         bootstrap.start_stand_in(kind, settings)
 
     def check(self, *files: str) -> None:
-        """Check settings trees and print their leaves, or every fault."""
+        """Check settings files and trees; print what holds, or every fault."""
         faulty = False
         for file in files:
             try:
-                tree = _read_tree(file)
+                sys.stdout.write(_checked(file))
             except SettingsError as error:
                 sys.stderr.write(f"{error}\n")
                 faulty = True
-                continue
-            for path in leaf_paths(tree):
-                sys.stdout.write(_line(resolve(tree, path)))
         if faulty:
             sys.exit(1)
 
@@ -94,6 +91,23 @@
     return parsed.ok_value
 
 
-def _line(leaf: Leaf | None) -> str:
-    """Return one line that shows a resolved leaf."""
-    return "" if leaf is None else f"{leaf}\n"
+def _checked(file: str) -> str:
+    """Return what the file says once checked: a process's settings, or leaves."""
+    model = _process_model(file)
+    if model is not None:
+        return f"{file}: {load(file, model)}\n"
+    tree = _read_tree(file)
+    leaves = (resolve(tree, path) for path in leaf_paths(tree))
+    return "".join(f"{leaf}\n" for leaf in leaves)
+
+
+def _process_model(file: str) -> type[NodeSettings] | None:
+    """Return the model of a process's settings file, None for a settings tree."""
+    try:
+        lines = Path(file).read_text(encoding="utf-8").splitlines()
+    except (OSError, UnicodeDecodeError):
+        return None
+    keys = {line.split(":", 1)[0] for line in lines}
+    if "listen" not in keys:
+        return None
+    return SidecarSettings if "target" in keys else EntrySettings
--- a/pistachiohaven/components/entry/_app.py
+++ b/pistachiohaven/components/entry/_app.py
@@ -34,7 +34,8 @@
 from ._intake import MODEL_PATHS, Intake, Mistake, find_key, find_leaf, take_in
 from ._metrics import EntryMetrics
 from ._reply import CallerReply
-from ._request import Finish, Refused, RequestCore, SendOffer
+from ._request import RequestCore
+from ._steps import Finish, Refused, SendOffer
 from .const import (
     BODY_TIMEOUT_MS,
     CONTROL_TIMEOUT_MS,
--- a/pistachiohaven/components/entry/_exchange.py
+++ b/pistachiohaven/components/entry/_exchange.py
@@ -36,7 +36,8 @@
 from ._intake import Intake
 from ._metrics import EntryMetrics
 from ._reply import CallerReply
-from ._request import (
+from ._request import RequestCore
+from ._steps import (
     AlreadyKnown,
     AnswerGone,
     ClaimLost,
@@ -46,7 +47,6 @@
     Looked,
     NotSent,
     Refused,
-    RequestCore,
     SendClaim,
     SendLook,
     SendOffer,
--- a/pistachiohaven/components/entry/_reply.py
+++ b/pistachiohaven/components/entry/_reply.py
@@ -9,7 +9,7 @@
 from pistachiohaven.const import MS_PER_S
 from pistachiohaven.core import Outcome, Reason
 
-from ._request import Finish
+from ._steps import Finish
 from .const import REQUEST_ID_HEADER
 
 _STATUS_OF_OUTCOME = {
--- a/pistachiohaven/components/measure/_price.py
+++ b/pistachiohaven/components/measure/_price.py
@@ -2,8 +2,10 @@
 
 from collections.abc import Iterable
 
-from ._once import FAULT_KINDS, History, Verdict, run_histories
+from ._history import FAULT_KINDS, History
+from ._once import run_histories
 from ._table import Table
+from ._verdict import Verdict
 
 HISTORIES_A_KIND = 300
 
--- a/pistachiohaven/components/measure/_traffic.py
+++ b/pistachiohaven/components/measure/_traffic.py
@@ -5,13 +5,13 @@
 from functools import partial
 
 from pistachiohaven.components.admission import Dispatch, FloorNews, Preempt, Refuse
-from pistachiohaven.components.entry._request import (
+from pistachiohaven.components.entry._request import RequestCore
+from pistachiohaven.components.entry._steps import (
     Action,
     Event,
     Finish,
     Looked,
     Refused,
-    RequestCore,
     SendLook,
     SendOffer,
 )
@@ -35,7 +35,7 @@
 LOOK_MS = 3 * HOP_MS
 """Time after which every answer to a look has come."""
 
-DRAIN_MS = 20_000
+DRAIN_MS = 60_000
 """Time after the last arrival in which running work may end."""
 
 FAST = EngineSpeed(
--- a/pistachiohaven/components/sidecar/_app.py
+++ b/pistachiohaven/components/sidecar/_app.py
@@ -111,6 +111,8 @@
         if request.path == wire.REPORT_PATH:
             await self._reply(send, OK, self._report())
         elif request.path == "/metrics":
+            self._runner.metrics.revision.set(self._node.store.revision)
+            self._runner.metrics.control_bytes.set(self._node.control_bytes)
             body = generate_latest(self._runner.metrics.registry)
             await send_reply(send, status=OK, headers=[], body=body)
         elif request.path == "/healthz":
--- a/pistachiohaven/components/sidecar/_metrics.py
+++ b/pistachiohaven/components/sidecar/_metrics.py
@@ -41,3 +41,11 @@
         self.in_hand = Gauge(
             "sidecar_in_hand", "Requests waiting or running", registry=self.registry
         )
+        self.revision = Gauge(
+            "sidecar_revision", "Settings revision in force", registry=self.registry
+        )
+        self.control_bytes = Gauge(
+            "sidecar_control_bytes",
+            "Bytes of control messages sent",
+            registry=self.registry,
+        )
--- a/tests/components/entry/test_request.py
+++ b/tests/components/entry/test_request.py
@@ -13,7 +13,7 @@
     Stage,
 )
 from pistachiohaven.components.entry import RequestCore
-from pistachiohaven.components.entry._request import (
+from pistachiohaven.components.entry._steps import (
     Action,
     ClaimLost,
     Finish,
