--- a/tests/test_sessions.py
+++ b/tests/test_sessions.py
@@ -15,7 +15,7 @@
 GOLDEN = Path(__file__).parent / "golden"
 TREE = """\
 revision: 1
-settings: {pool: draft, max_tokens: 400, deadline_ms: 60000}
+settings: {pool: draft, max_tokens: 1000, deadline_ms: 60000}
 organisations:
   reporting:
     applications:
@@ -37,7 +37,7 @@
         services=0,
         entries=1,
         tree=TREE,
-        engine_lines='{"token_ms": 30, "max_batch": 16}',
+        engine_lines='{"token_ms": 5, "max_batch": 16}',
     )
     try:
         made.start()
@@ -69,12 +69,12 @@
 
 
 def test_refused_overload(fleet: Fleet) -> None:
-    running = stream(fleet, "entry-1", "long", tokens=400)
+    running = stream(fleet, "entry-1", "long", tokens=1000)
     eventually(lambda: running.chunks > 1, "a long stream runs")
-    refused = fleet.ask("entry-1", "refused", tokens=400)
+    refused = fleet.ask("entry-1", "refused", tokens=1000)
     compare("overload", [refused])
     assert fleet.runs("refused") == 0
-    assert len(running.result().words()) == 400
+    assert len(running.result().words()) == 1000
 
 
 def test_mistakes_of_callers(fleet: Fleet) -> None:
