--- a/pistachiohaven/components/entry/_app.py
+++ b/pistachiohaven/components/entry/_app.py
@@ -40,7 +40,7 @@
     BODY_TIMEOUT_MS,
     CONTROL_TIMEOUT_MS,
     DEFAULT_RETRY_AFTER_MS,
-    PROBES_AT_ONCE,
+    FIRST_PROBES,
     SERVICES_PREFIX,
     TICKETS_PATH,
 )
@@ -288,7 +288,7 @@
 
     async def _know_some(self, pool: str) -> None:
         """Ask a few targets of `pool` for their report if none is known yet."""
-        unknown = self._router.unknown(pool, count=PROBES_AT_ONCE)
+        unknown = self._router.unknown(pool, count=FIRST_PROBES)
         if unknown and not self._router.knows_any(pool):
             async with trio.open_nursery() as nursery:
                 for view in unknown:
--- a/pistachiohaven/components/entry/_request.py
+++ b/pistachiohaven/components/entry/_request.py
@@ -316,7 +316,7 @@
         self, reason: Reason, release: Release | None, *, now_ms: int
     ) -> Action:
         """End a request that did not run; a key's home has to agree first."""
-        if self._last_refusal.reason in FULL_REASONS:
+        if FULL_REASONS & {reason, self._last_refusal.reason}:
             look = self._last_look(release, now_ms=now_ms)
             if look is not None:
                 return look
--- a/pistachiohaven/components/entry/const.py
+++ b/pistachiohaven/components/entry/const.py
@@ -8,8 +8,13 @@
 SILENCE_MS: Final = 1_000
 """How long an offer may be unanswered before the sidecar is asked about it."""
 
-PROBES_AT_ONCE: Final = 4
+PROBES_AT_ONCE: Final = 1
 PROBE_INTERVAL_MS: Final = 250
+"""Together these bound what an entry asks unbidden: four reports a second."""
+
+FIRST_PROBES: Final = 4
+"""Targets asked at once when a request comes for a pool nothing is known of."""
+
 CONTROL_TIMEOUT_MS: Final = 1_000
 LOOK_TIMEOUT_MS: Final = 250
 """How long targets have to say what they hold before a request is refused."""
--- a/tests/components/measure/test_overload.py
+++ b/tests/components/measure/test_overload.py
@@ -20,6 +20,11 @@
     assert mixed.inversions == 0
 
 
+def test_floor_that_outlives_its_look_asks_again() -> None:
+    outcomes = Traffic(plan=Plan(seed=1, load=5.0, length_ms=12_500)).run()
+    assert outcomes.inversions == 0
+
+
 def test_every_request_ends_in_one_way() -> None:
     outcomes = run(seed=3, load=3.0)
     ends = zip(
