--- a/benchmarks/processes.py
+++ b/benchmarks/processes.py
@@ -7,7 +7,9 @@
 import time
 from pathlib import Path
 
-from features.fleet import Fleet, request
+import httpcore
+
+from features.fleet import HOST, Fleet, request
 from pistachiohaven.components.measure._table import Table
 
 TREE = Path(__file__).parent.parent / "features" / "tree.yaml"
@@ -122,6 +124,12 @@
         request(port, "/control/report")
     cost = watch.used()["sidecar-1"] / CALLS * 1e6
     table.add("sidecar-1, us a report on a new connection", f"{cost:.0f}")
+    watch = Watch(fleet, ("sidecar-1",))
+    with httpcore.ConnectionPool() as pool:
+        for _number in range(CALLS):
+            pool.request("GET", f"http://{HOST}:{port}/control/report")
+    cost = watch.used()["sidecar-1"] / CALLS * 1e6
+    table.add("sidecar-1, us a report on a kept connection", f"{cost:.0f}")
 
 
 def main() -> None:
