Ask about a sidecar that falls silent in the middle of an answer; tell a begun request as cut

Cause: a sidecar frozen after the first byte left its caller waiting without end, since the entry asked about silence only before the first byte. And a caller that had bytes in hand was told 'unknown' when the sidecar died, though bytes prove the dispatch. Change: silence is asked about for the whole answer; after a first byte a lost sidecar is 'cut after dispatch'. The scenario of the killed sidecar now demands that outcome in place of 'unknown': it is the stricter statement, 'unknown' would fail it.

--- a/features/promises.feature
+++ b/features/promises.feature
@@ -4,7 +4,7 @@
     Given a fleet of 2 engines, 0 services and 1 entry
     When "entry-1" streams job "long" of 400 tokens in tier "urgent"
     And the sidecar that runs "long" is killed
-    Then the caller of "long" is told "unknown"
+    Then the caller of "long" is told "cut_after_dispatch"
     And job "long" began 1 time
 
   Scenario: A frozen entry that wakes dispatches nothing twice
@@ -30,6 +30,21 @@
     Then the caller of "cut" has all 120 words
     And job "cut" began 1 time
 
+  Scenario: A sidecar that freezes in the middle of an answer and wakes loses nothing
+    Given a fleet of 1 engine, 0 services and 1 entry
+    When "entry-1" streams job "ice" of 200 tokens in tier "normal"
+    And the sidecar "sidecar-1" freezes
+    And 3 seconds pass
+    And "sidecar-1" wakes
+    Then the caller of "ice" has all 200 words
+    And job "ice" began 1 time
+
+  Scenario: A sidecar that freezes for good ends its callers' waits
+    Given a fleet of 1 engine, 0 services and 1 entry
+    When "entry-1" streams job "lost" of 200 tokens in tier "normal"
+    And the sidecar "sidecar-1" freezes
+    Then the caller of "lost" is told "cut_after_dispatch"
+
   Scenario: Who is told not run has not run, when targets die
     Given a fleet of 2 engines, 0 services and 1 entry
     When target "target-1" is killed
--- a/pistachiohaven/components/entry/_exchange.py
+++ b/pistachiohaven/components/entry/_exchange.py
@@ -180,7 +180,7 @@
             offset_bytes=self._reply.offset_bytes,
         )
         event = await self._answer(address, wire.RESUME_PATH, encode(message))
-        return Silent() if isinstance(event, NotSent) else event
+        return self._silent() if isinstance(event, NotSent) else event
 
     @perform.register
     async def _(self, action: SendWithdraw) -> Event:
@@ -237,8 +237,7 @@
         try:
             async with trio.open_nursery() as nursery:
                 wait.scope = nursery.cancel_scope
-                if self.first_byte_ms is None:
-                    nursery.start_soon(self._watch_silence, address, wait)
+                nursery.start_soon(self._watch_silence, address, wait)
                 event = await self._stream(address, path, body, nursery.cancel_scope)
                 nursery.cancel_scope.cancel()
         except* (httpcore.ConnectError, httpcore.ConnectTimeout):
@@ -249,11 +248,14 @@
             httpcore.TimeoutException,
             OSError,
         ):
-            event = Silent()
+            event = self._silent()
         if event is None:
-            return TimeUp() if wait.time_up else Silent()
+            return TimeUp() if wait.time_up else self._silent()
         return event
 
+    def _silent(self) -> Silent:
+        return Silent(began=self.first_byte_ms is not None)
+
     async def _stream(
         self, address: str, path: str, body: bytes, watch: trio.CancelScope
     ) -> Event:
@@ -295,19 +297,24 @@
             )
 
     async def _watch_silence(self, address: str, wait: Wait) -> None:
-        """End a wait that the sidecar does not know of, or that takes too long."""
+        """End a wait for bytes that the sidecar does not know of, or that is too long.
+
+        A sidecar that is asked and says that the request waits or runs is waited for.
+        """
         deadline_ms = self._started_ms + self._intake.leaf.deadline_ms
         offered = self._offered
-        while self.first_byte_ms is None and offered is not None:
-            now_ms = self._node.clock.now_ms()
-            if now_ms >= deadline_ms:
+        while offered is not None:
+            seen_bytes = self._reply.offset_bytes
+            left_ms = deadline_ms - self._node.clock.now_ms()
+            if self.first_byte_ms is None and left_ms <= 0:
                 wait.time_up = True
                 wait.scope.cancel()
                 return
-            pause_ms = min(SILENCE_MS, deadline_ms - now_ms)
+            first = self.first_byte_ms is None
+            pause_ms = min(SILENCE_MS, left_ms) if first else SILENCE_MS
             await trio.sleep(pause_ms / MS_PER_S)
-            if self.first_byte_ms is not None:
-                return
+            if self._reply.offset_bytes != seen_bytes:
+                continue
             body = encode(self._facts(offered.attempt, offered.incarnation))
             answer = await self._ask(address, wire.STAGE_PATH, body, StageAnswer)
             if isinstance(answer, Err):
--- a/pistachiohaven/components/entry/_request.py
+++ b/pistachiohaven/components/entry/_request.py
@@ -66,6 +66,7 @@
         self._budgets = budgets
         self._first_try = first_try
         self._time_up = False
+        self._began = False
         self._tried: list[str] = []
         self._offer: SendOffer | None = None
         self._attempts = 0
@@ -151,6 +152,7 @@
     @handle.register
     def _(self, event: Silent, *, now_ms: int) -> Action:
         offer = self._current()
+        self._began = self._began or event.began
         self._suspect(offer.sidecar, now_ms=now_ms)
         return SendWithdraw(
             sidecar=offer.sidecar,
@@ -162,7 +164,7 @@
     def _(self, event: Staged, *, now_ms: int) -> Action:
         answer = event.answer
         if answer is None or answer.stage is None:
-            return Finish(outcome=Outcome.UNKNOWN, reason=Reason.SIDECAR_LOST)
+            return self._lost()
         if answer.stage is Stage.REFUSED:
             reason = answer.reason or Reason.WITHDRAWN
             refused = Refused(reason=reason, retry_after_ms=DEFAULT_RETRY_AFTER_MS)
@@ -217,6 +219,12 @@
             retry_after_ms=DEFAULT_RETRY_AFTER_MS,
         )
 
+    def _lost(self) -> Finish:
+        """Finish a request whose sidecar is gone; bytes of it prove a dispatch."""
+        cut, unknown = Outcome.CUT_AFTER_DISPATCH, Outcome.UNKNOWN
+        outcome = cut if self._began else unknown
+        return Finish(outcome=outcome, reason=Reason.SIDECAR_LOST)
+
     def _too_late(self) -> Finish:
         """Finish a dispatched request that is past its deadline."""
         if self.work.idempotent:
--- a/pistachiohaven/components/entry/_steps.py
+++ b/pistachiohaven/components/entry/_steps.py
@@ -109,7 +109,9 @@
 
 @dataclass(frozen=True, slots=True, kw_only=True)
 class Silent:
-    """The sidecar did not answer the offer, or the connection broke."""
+    """The sidecar fell silent, or the connection broke; `began` after a first byte."""
+
+    began: bool = False
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
--- a/tests/components/entry/test_request.py
+++ b/tests/components/entry/test_request.py
@@ -121,6 +121,14 @@
     assert end == Finish(outcome=Outcome.UNKNOWN, reason=Reason.SIDECAR_LOST)
 
 
+def test_lost_sidecar_after_a_first_byte_is_a_cut() -> None:
+    core = make_core()
+    core.start(now_ms=0)
+    core.handle(Silent(began=True), now_ms=1)
+    end = core.handle(Staged(answer=None), now_ms=2)
+    assert end == Finish(outcome=Outcome.CUT_AFTER_DISPATCH, reason=Reason.SIDECAR_LOST)
+
+
 def test_broken_stream_is_taken_up_again() -> None:
     core = make_core()
     core.start(now_ms=0)
