Bound an answer without readers; keep the address of an instance that left the list

Cause: (1) an answer whose only reader broke off grew without bound until its end, for a non-idempotent call for as long as it ran; (2) an entry looked up a sidecar that had left the list in the list, found nothing, and called its own request lost though the sidecar still ran it.

--- a/pistachiohaven/components/entry/_exchange.py
+++ b/pistachiohaven/components/entry/_exchange.py
@@ -99,6 +99,7 @@
         self._router = router
         self._metrics = metrics
         self._offered: SendOffer | None = None
+        self._offered_address = ""
         self._started_ms = node.clock.now_ms()
         self.first_byte_ms: int | None = None
         self.offers = 0
@@ -159,6 +160,7 @@
         if address is None:
             return NotSent()
         self._offered = action
+        self._offered_address = address
         self.offers += 1
         message = OfferMessage(
             facts=self._facts(action.attempt, action.incarnation),
@@ -359,6 +361,12 @@
         )
 
     def _address(self, sidecar: str) -> str | None:
+        """Return the address of a sidecar; of the last one offered, as it was then.
+
+        An instance that has left the list may still hold the request.
+        """
+        if self._offered is not None and self._offered.sidecar == sidecar:
+            return self._offered_address
         view = self._router.view(sidecar)
         if view is not None:
             return view.instance.address
--- a/pistachiohaven/components/sidecar/_answer.py
+++ b/pistachiohaven/components/sidecar/_answer.py
@@ -65,8 +65,10 @@
         self._wake()
 
     def append(self, chunk: bytes) -> None:
-        """Take in bytes of the answer."""
+        """Take in bytes of the answer; without a reader the first ones give way."""
         self._buffer += chunk
+        if not self.readers:
+            self._drop(len(self._buffer) - MAX_ANSWER_BUFFER_BYTES)
         self._wake()
 
     def finish(self, state: AnswerState, reason: Reason | None = None) -> None:
@@ -129,13 +131,16 @@
     def _trim(self) -> None:
         """Drop bytes beyond the buffer that every reader has taken."""
         excess = len(self._buffer) - MAX_ANSWER_BUFFER_BYTES
-        if excess > 0:
-            taken = min(self.readers.values()) - self.base_bytes
-            drop = min(excess, taken)
-            del self._buffer[:drop]
-            self.base_bytes += drop
+        taken = min(self.readers.values()) - self.base_bytes
+        self._drop(min(excess, taken))
         self._wake()
 
+    def _drop(self, count: int) -> None:
+        """Drop the first `count` bytes, none if it is not positive."""
+        if count > 0:
+            del self._buffer[:count]
+            self.base_bytes += count
+
     def _wake(self) -> None:
         news, self._news = self._news, trio.Event()
         news.set()
