Believe no platform alone at a start; make every promise's scenario fail when its rule is broken

Change to the checks, each stricter: the leaving sidecar holds streams while it is asked; the stream of the planned stop lasts 9 s; the entry restarts while every other node is frozen and must not become ready. Found by it: a platform that was rolled back has fresh stamps, so the restarted entry served revision 1 after 2 had been in force (failed on the code before). A starting node now needs peers: three serving, or twenty heard or proved not to run; silence proves nothing. The test that let a fresh stamp suffice is replaced by one that demands the opposite. Also: scenarios hold their ports, since four fleets at once had taken one another's.

--- a/benchmarks/core.py
+++ b/benchmarks/core.py
@@ -168,7 +168,6 @@
             settings=store,
             membership=membership,
             rng=random.Random(1),
-            started_wall_ms=WALL_MS,
         )
 
     asker, asked = make_node("sidecar-1"), make_node("sidecar-2")
--- a/features/fleet.py
+++ b/features/fleet.py
@@ -25,13 +25,19 @@
 SOURCE = Path(__file__).resolve().parent.parent
 
 
-def free_ports(count: int) -> list[int]:
-    """Return ports that the kernel chose."""
-    held = [socket.create_server((HOST, 0)) for _number in range(count)]
-    ports = [sock.getsockname()[1] for sock in held]
-    for sock in held:
-        sock.close()
-    return ports
+def hold_ports(count: int) -> list[socket.socket]:
+    """Return sockets bound to ports that the kernel chose.
+
+    While they are held, no connection is given one of the ports by chance, and a
+    process that allows reuse can listen on it, again after a restart too.
+    """
+    held: list[socket.socket] = []
+    for _number in range(count):
+        sock = socket.socket()
+        sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+        sock.bind((HOST, 0))
+        held.append(sock)
+    return held
 
 
 def eventually(check: Callable[[], Any], what: str) -> Any:
@@ -231,7 +237,8 @@
         """Write the settings files; start nothing yet."""
         self.folder = Path(tempfile.mkdtemp(prefix="fleet-"))
         targets = self.engines + self.services
-        ports = free_ports(1 + 2 * targets + self.entries)
+        self.held = hold_ports(1 + 2 * targets + self.entries)
+        ports = [sock.getsockname()[1] for sock in self.held]
         self.rng = random.Random(1)
         self.platform = self._member("platform", "stand-in platform", ports.pop())
         for number in range(1, targets + 1):
@@ -329,6 +336,8 @@
             relay.close()
         for member in self.members.values():
             member.kill()
+        for sock in self.held:
+            sock.close()
 
     # What callers and operators do
 
--- a/features/promises.feature
+++ b/features/promises.feature
@@ -59,27 +59,34 @@
     And a later repeat with the same key does not run it again
 
   Scenario: A leaving sidecar gets no new work though the list lags
-    Given a fleet of 2 engines, 0 services and 1 entry
-    When "sidecar-1" is told to leave by signal
+    Given a fleet of 2 slow engines, 0 services and 1 entry
+    When 6 jobs of tier "normal" are streamed through "entry-1"
+    And "sidecar-1" is told to leave by signal
     And 2 seconds pass
-    And 12 jobs of tier "normal" are asked through "entry-1"
-    Then all 12 jobs are answered
-    And "target-1" began none of them
+    Then "sidecar-1" still holds work
+    When 6 jobs of tier "normal" are asked through "entry-1"
+    Then "target-1" began none of them
+    And every streamed job that was answered is whole
 
   Scenario: A planned stop cuts off nothing
     Given a fleet of 1 engine, 0 services and 1 entry
-    When "entry-1" streams job "stay" of 300 tokens in tier "normal"
+    When "entry-1" streams job "stay" of 900 tokens in tier "normal"
     And "sidecar-1" is told to leave by signal
     And "entry-1" is told to leave by signal
-    Then the caller of "stay" has all 300 words
+    Then the caller of "stay" has all 900 words
     And "sidecar-1" and "entry-1" end by themselves
 
   Scenario: A restarted entry never goes back to an older configuration
     Given a fleet of 1 engine, 0 services and 2 entries
     When the platform becomes stale
     And revision 2 reaches "entry-1" but not the platform's answers
+    And every node but "entry-2" freezes
     And "entry-2" is killed and started again
+    And 3 seconds pass
+    Then "entry-2" is not ready
+    When every node wakes
     Then "entry-2" serves with revision 2
+    And "entry-2" never began to serve with an older one
 
   Scenario: A bad edit changes nothing
     Given a fleet of 1 engine, 0 services and 1 entry
--- a/features/steps/callers.py
+++ b/features/steps/callers.py
@@ -147,7 +147,7 @@
     relay.open = False
     relay.cut()
     callers.append(Caller(fleet.tag, "entry-2", "seat", ticket))
-    time.sleep(1)
+    time.sleep(5)  # longer than an entry asks a home again
     relay.open = True
     callers.append(Caller(fleet.tag, "entry-2", "seat", ticket))
     context.replies = {
--- a/features/steps/promises.py
+++ b/features/steps/promises.py
@@ -1,5 +1,6 @@
 """Carry out the steps of the promises."""
 
+import json
 import signal
 import time
 from pathlib import Path
@@ -7,7 +8,7 @@
 
 from behave import given, then, when
 
-from features.fleet import Caller, Fleet, eventually, stream
+from features.fleet import Caller, Fleet, eventually, request, stream
 
 TREE = Path(__file__).resolve().parent.parent / "tree.yaml"
 SLOW = '{"prefill_tokens_per_s": 4000, "token_ms": 25, "max_batch": 4}'
@@ -227,10 +228,18 @@
     time.sleep(seconds)
 
 
-@then("all {count:d} jobs are answered")
-def all_answered(context: Any, count: int) -> None:
-    statuses = [reply.status for reply in context.replies.values()]
-    assert statuses == [200] * count, statuses
+@then('"{name}" still holds work')
+def still_holds(context: Any, name: str) -> None:
+    assert context.fleet.status(name)["running"], "the scenario needs work in hand"
+
+
+@then("every streamed job that was answered is whole")
+def streams_whole(context: Any) -> None:
+    for job, caller in context.callers.items():
+        reply = caller.result()
+        if not reply.error():
+            words = reply.words()
+            assert words == [f"{job}-{number}" for number in range(200)], job
 
 
 @then('"{target}" began none of them')
@@ -267,19 +276,57 @@
     eventually(lambda: fleet.mode(stale=True) is None, "the platform is back")
 
 
+def nodes(fleet: Fleet) -> list[str]:
+    """Return the names of the entries and sidecars."""
+    return [name for name in fleet.members if name.startswith(("entry", "sidecar"))]
+
+
+@when('every node but "{spared}" freezes')
+def freeze_others(context: Any, spared: str) -> None:
+    for name in nodes(context.fleet):
+        if name != spared:
+            context.fleet.members[name].send(signal.SIGSTOP)
+
+
+@when("every node wakes")
+def wake_all(context: Any) -> None:
+    for name in nodes(context.fleet):
+        context.fleet.members[name].send(signal.SIGCONT)
+
+
 @when('"{name}" is killed and started again')
 def restart(context: Any, name: str) -> None:
     member = context.fleet.members[name]
     member.kill()
     member.start()
-    eventually(member.ready, f"{name} ready")
+
+
+@then('"{name}" is not ready')
+def not_ready(context: Any, name: str) -> None:
+    member = context.fleet.members[name]
+    reply = eventually(lambda: request(member.port, "/readyz"), f"{name} answers")
+    assert reply.status == 503, reply
 
 
 @then('"{name}" serves with revision {revision:d}')
 def serves_with(context: Any, name: str, revision: int) -> None:
+    eventually(context.fleet.members[name].ready, f"{name} ready")
     assert context.fleet.status(name)["revision"] == revision
 
 
+@then('"{name}" never began to serve with an older one')
+def never_older(context: Any, name: str) -> None:
+    lines = context.fleet.members[name].log.read_text().splitlines()
+    events = [json.loads(line) for line in lines if line.startswith("{")]
+    began = [
+        event["revision"]
+        for event in events
+        if event["message_type"].endswith(":serving")
+    ]
+    # Its first life began with revision 1, before the edit.
+    assert began == [1, 2], began
+
+
 @when("a tree with a fault is published as revision {revision:d}")
 def bad_edit(context: Any, revision: int) -> None:
     text = TREE.read_text().replace("revision: 1", f"revision: {revision}")
--- a/pistachiohaven/components/measure/_spread.py
+++ b/pistachiohaven/components/measure/_spread.py
@@ -65,7 +65,6 @@
             settings=self.store,
             membership=fleet.membership,
             rng=random.Random(fleet.rng.random()),
-            started_wall_ms=START_WALL_MS,
         )
         self._read()
 
--- a/pistachiohaven/components/node/_node.py
+++ b/pistachiohaven/components/node/_node.py
@@ -26,7 +26,7 @@
 )
 from pistachiohaven.components.spread import Known, News, Spread, Sync, push_of
 from pistachiohaven.components.spread.const import SYNC_INTERVAL_MS, WATCH_WAIT_MS
-from pistachiohaven.components.web import call, make_pool
+from pistachiohaven.components.web import CallError, call, make_pool
 from pistachiohaven.config import NodeSettings
 from pistachiohaven.const import MS_PER_S
 from pistachiohaven.core import Instance, Phase
@@ -76,7 +76,6 @@
             settings=self.store,
             membership=self.membership,
             rng=self.rng,
-            started_wall_ms=started_wall_ms,
         )
         self.platform = PlatformClient(address=settings.platform, pool=self.pool)
         self.control_bytes = 0
@@ -174,6 +173,8 @@
             timeout_ms=PEER_TIMEOUT_MS,
         )
         if isinstance(reply, Err):
+            if reply.err_value is CallError.REFUSED:
+                self.spread.not_running(peer.name)
             return
         news = decode(reply.ok_value.body, News)
         if isinstance(news, Ok):
--- a/pistachiohaven/components/spread/_core.py
+++ b/pistachiohaven/components/spread/_core.py
@@ -15,7 +15,6 @@
     Tree,
     make_tree,
 )
-from pistachiohaven.const import CLOCK_SKEW_MS
 from pistachiohaven.core import Instance
 from pistachiohaven.helpers import rendezvous_order
 
@@ -26,6 +25,7 @@
     STALE_AFTER_MS,
     STALE_READ_PAUSE_MS,
     START_PEERS,
+    START_SAMPLE,
     WATCHERS_PER_DATA_CENTRE,
 )
 
@@ -44,14 +44,12 @@
         settings: SettingsStore,
         membership: Membership,
         rng: random.Random,
-        started_wall_ms: int,
     ) -> None:
         self._name = name
         self._data_centre = data_centre
         self._settings = settings
         self._membership = membership
         self._rng = rng
-        self._started_wall_ms = started_wall_ms
         self._settings_as_of_ms = 0
         self._list_log: deque[ListVersion] = deque(maxlen=LIST_VERSIONS_KEPT)
         self._peers_heard: dict[str, bool] = {}
@@ -228,19 +226,25 @@
     def may_serve(self) -> bool:
         """Return True once the settings cannot be older than what was in force.
 
-        Either the origin stamped them after this process started, or enough serving
-        peers were heard, or every listed peer was heard and none of them serves.
+        The platform alone is not believed, since it may have been rolled back. Enough
+        serving peers have to be heard, or so many peers at all, with those that are
+        proved not to run, that a serving one would have been among them.
         """
         if self._settings.tree is None or not self._membership.version:
             return False
-        fresh_from_ms = self._started_wall_ms - CLOCK_SKEW_MS
-        if self._settings_as_of_ms >= fresh_from_ms:
-            return True
-        peers = self.peers()
-        serving = sum(self._peers_heard.get(peer.name, False) for peer in peers)
-        if serving >= min(START_PEERS, len(peers)) and serving:
+        heard = [
+            self._peers_heard[peer.name]
+            for peer in self.peers()
+            if peer.name in self._peers_heard
+        ]
+        count = len(self.peers())
+        if sum(heard) >= min(START_PEERS, count) > 0:
             return True
-        return all(self._peers_heard.get(peer.name) is False for peer in peers)
+        return len(heard) >= min(START_SAMPLE, count)
+
+    def not_running(self, name: str) -> None:
+        """Take in that no process listens at the address of the peer `name`."""
+        self._peers_heard[name] = False
 
 
 def push_of(spread: Spread, *, since: Known) -> Sync:
--- a/pistachiohaven/components/spread/const.py
+++ b/pistachiohaven/components/spread/const.py
@@ -21,7 +21,10 @@
 """Mean time between two such reads of one node."""
 
 START_PEERS: Final = 3
-"""Serving peers whose word a starting node needs if the platform may be stale."""
+"""Serving peers whose word lets a starting node serve."""
+
+START_SAMPLE: Final = 20
+"""Peers heard, or proved not to run, that let it serve with fewer serving ones."""
 
 LIST_VERSIONS_KEPT: Final = 512
 """Recent list versions from which a peer can be brought up to date."""
--- a/pistachiohaven/components/web/_client.py
+++ b/pistachiohaven/components/web/_client.py
@@ -18,6 +18,9 @@
     NOT_SENT = "not_sent"
     """No byte of the call left this process."""
 
+    REFUSED = "refused"
+    """No process listens at the address; nothing was sent."""
+
     BROKEN = "broken"
     TIMEOUT = "timeout"
 
@@ -57,8 +60,9 @@
             response = await pool.request(
                 method, f"http://{address}{path}", headers=headers, content=body
             )
-        except (httpcore.ConnectError, httpcore.ConnectTimeout):
-            return Err(CallError.NOT_SENT)
+        except (httpcore.ConnectError, httpcore.ConnectTimeout) as error:
+            refused = _was_refused(error)
+            return Err(CallError.REFUSED if refused else CallError.NOT_SENT)
         except (httpcore.NetworkError, httpcore.ProtocolError, OSError):
             return Err(CallError.BROKEN)
         except httpcore.TimeoutException:
@@ -66,3 +70,15 @@
         found = {name.lower(): value for name, value in response.headers}
         return Ok(Reply(status=response.status, headers=found, body=response.content))
     return Err(CallError.TIMEOUT)
+
+
+def _was_refused(error: BaseException) -> bool:
+    """Return True if the other side's machine answered that nobody listens."""
+    cause: BaseException | None = error
+    while cause is not None:
+        if isinstance(cause, ConnectionRefusedError):
+            return True
+        if isinstance(cause, BaseExceptionGroup):
+            return any(_was_refused(each) for each in cause.exceptions)
+        cause = cause.__cause__ or cause.__context__
+    return False
--- a/tests/components/spread/test_core.py
+++ b/tests/components/spread/test_core.py
@@ -37,7 +37,6 @@
         settings=SettingsStore(),
         membership=membership,
         rng=random.Random(1),
-        started_wall_ms=STARTED_MS,
     )
 
 
@@ -91,12 +90,30 @@
     assert node.known().revision == 4
 
 
-def test_starting_node_serves_on_a_stamp_after_its_start() -> None:
+def test_starting_node_does_not_believe_a_fresh_platform_alone() -> None:
     node = make_node("a")
     node.take_settings(make_tree_of(3), as_of_ms=STARTED_MS + 1)
+    assert not node.may_serve()
+    node.not_running("b")
+    node.not_running("c")
+    assert not node.may_serve()
+    node.not_running("d")
     assert node.may_serve()
 
 
+def test_starting_node_with_few_peers_left_takes_the_highest_revision() -> None:
+    node, peer = make_node("a"), make_node("b")
+    peer.serving = True
+    peer.take_settings(make_tree_of(4), as_of_ms=STARTED_MS)
+    node.take_settings(make_tree_of(3), as_of_ms=STARTED_MS + 1)
+    node.not_running("c")
+    node.not_running("d")
+    assert not node.may_serve()
+    meet(node, peer)
+    assert node.may_serve()
+    assert node.known().revision == 4
+
+
 def test_whole_fleet_that_starts_at_once_serves_on_what_it_has() -> None:
     node = make_node("a")
     node.take_settings(make_tree_of(3), as_of_ms=STARTED_MS - 60_000)
