--- a/benchmarks/processes.py
+++ b/benchmarks/processes.py
@@ -9,7 +9,8 @@
 
 import httpcore
 
-from features.fleet import HOST, Fleet, request
+from features.fleet import Fleet, request
+from features.relay import HOST
 from pistachiohaven.components.measure._table import Table
 
 TREE = Path(__file__).parent.parent / "features" / "tree.yaml"
--- a/pistachiohaven/components/entry/_exchange.py
+++ b/pistachiohaven/components/entry/_exchange.py
@@ -10,15 +10,13 @@
 from result import Err, Ok, Result
 
 from pistachiohaven.components.admission import FloorNews
-from pistachiohaven.components.dispatch import Claim, Key, Stage, Ticket
+from pistachiohaven.components.dispatch import Claim, Key, Ticket
 from pistachiohaven.components.node import Node
 from pistachiohaven.components.peer import (
     AbandonMessage,
     ClaimAnswer,
-    KnownMessage,
     OfferFacts,
     OfferMessage,
-    RefusalMessage,
     Report,
     ResumeMessage,
     StageAnswer,
@@ -35,18 +33,15 @@
 
 from ._intake import Intake
 from ._metrics import EntryMetrics
+from ._replies import claim_event, declined
 from ._reply import CallerReply
 from ._request import RequestCore
 from ._steps import (
-    AlreadyKnown,
-    AnswerGone,
     ClaimLost,
     ClaimRefused,
     Event,
-    Granted,
     Looked,
     NotSent,
-    Refused,
     SendClaim,
     SendLook,
     SendOffer,
@@ -125,7 +120,7 @@
                 home.ok_value.address, wire.CLAIM_PATH, body, ClaimAnswer
             )
             if isinstance(answer, Ok):
-                return _claim_event(answer.ok_value)
+                return claim_event(answer.ok_value)
             await trio.sleep(RECOVERY_PAUSE_MS / MS_PER_S)
         return ClaimLost()
 
@@ -275,7 +270,7 @@
             found = {name.lower(): value for name, value in response.headers}
             self._take_report(found)
             if response.status != wire.STATUS_DISPATCHED:
-                return _declined(response.status, await response.aread())
+                return declined(response.status, await response.aread())
             self._reply.head(
                 status=int(found.get(wire.TARGET_STATUS_HEADER.encode(), b"200")),
                 content_type=found.get(b"content-type", b"application/json"),
@@ -372,36 +367,3 @@
             return view.instance.address
         listed = self._node.membership.instance(sidecar)
         return None if listed is None else listed.address
-
-
-def _claim_event(answer: ClaimAnswer) -> Event:
-    """Return what an answer of the home means."""
-    if answer.grant is not None:
-        return Granted(grant=answer.grant)
-    return ClaimRefused(reason=answer.reason or Reason.HOME_UNREACHABLE)
-
-
-def _declined(status: int, content: bytes) -> Event:
-    """Return what a reply without an answer means."""
-    if status == wire.STATUS_KNOWN:
-        known = decode(content, KnownMessage)
-        if isinstance(known, Ok):
-            message = known.ok_value
-            return AlreadyKnown(request_id=message.request_id, stage=message.stage)
-    if status == wire.STATUS_GONE:
-        return _gone(content)
-    if status == wire.STATUS_REFUSED:
-        refused = decode(content, RefusalMessage)
-        if isinstance(refused, Ok):
-            refusal = refused.ok_value
-            return Refused(reason=refusal.reason, retry_after_ms=refusal.retry_after_ms)
-    return Silent()
-
-
-def _gone(content: bytes) -> Event:
-    """Return why a dispatched request has no answer to send."""
-    gone = decode(content, RefusalMessage)
-    if isinstance(gone, Err) or gone.ok_value.reason is Reason.ANSWER_NOT_KEPT:
-        return AnswerGone()
-    cut = StageAnswer(request_id="", stage=Stage.CUT, reason=gone.ok_value.reason)
-    return Staged(answer=cut)
