Leave a silent target out until it speaks again; count failures at once as one

Reading the code with it showed that each of many requests that fail at once doubled the time a target is left out (16 at once: 30 s), and that it came back when that time was over, without a sign of life. Change: a suspected target is out until a report or an answer comes; probes come after 0.5 s, doubling once a round. The scenario waits until the entry leaves the frozen sidecar out, so that its demand of whole answers no longer hangs on chance; its checks are unchanged.

--- a/features/promises.feature
+++ b/features/promises.feature
@@ -19,6 +19,7 @@
     Given a fleet of 2 slow engines, 0 services and 1 entry
     When 40 jobs of tier "idle" are streamed through "entry-1"
     And the sidecar "sidecar-2" freezes
+    And "entry-1" leaves "sidecar-2" out
     And 10 jobs of tier "urgent" are asked through "entry-1"
     Then all 10 urgent jobs are answered whole or end "unknown"
     And no urgent job is refused
--- a/features/steps/promises.py
+++ b/features/steps/promises.py
@@ -109,6 +109,15 @@
     context.fleet.members[name].send(signal.SIGSTOP)
 
 
+@when('"{entry}" leaves "{sidecar}" out')
+def leaves_out(context: Any, entry: str, sidecar: str) -> None:
+    def suspected() -> bool:
+        targets = context.fleet.status(entry)["targets"]
+        return any(item["name"] == sidecar and item["suspect"] for item in targets)
+
+    eventually(suspected, f"{entry} suspects {sidecar}")
+
+
 @when('{count:d} jobs of tier "{tier}" are asked through "{entry}"')
 def ask_many(context: Any, count: int, tier: str, entry: str) -> None:
     callers = {
--- a/pistachiohaven/components/entry/_app.py
+++ b/pistachiohaven/components/entry/_app.py
@@ -361,7 +361,7 @@
                 usable=view.usable(rank=0, now_ms=now_ms),
                 lowest_rank=view.lowest_rank,
                 tokens_per_s=view.tokens_per_ms() * MS_PER_S,
-                suspect=now_ms < view.suspect_until_ms,
+                suspect=view.suspected,
             )
             for view in self._router.views()
         ]
--- a/pistachiohaven/components/routing/_core.py
+++ b/pistachiohaven/components/routing/_core.py
@@ -14,7 +14,7 @@
 from ._policies import Choice, Policy, PredictivePolicy, choose
 from ._prefixes import PrefixMap
 from ._view import TargetView
-from .const import FLOOR_MS, REPORT_FRESH_MS
+from .const import FLOOR_MS
 
 
 class Lower(StrEnum):
@@ -110,7 +110,7 @@
         if look and look.rank <= work.rank and now_ms < look.until_ms:
             return []
         views = self._pools.get(work.pool, ())
-        return [view for view in views if now_ms >= view.suspect_until_ms]
+        return [view for view in views if not view.suspected]
 
     def looked(self, work: Work, *, asked_ms: int) -> None:
         """Take in that every target in reach was asked on behalf of `work`."""
@@ -176,11 +176,6 @@
 
     def probes_due(self, *, now_ms: int, count: int) -> list[TargetView]:
         """Return up to `count` targets whose own word is missing or old."""
-        due = [
-            view
-            for view in self._views.values()
-            if now_ms >= view.suspect_until_ms
-            and (view.report is None or now_ms - view.report_ms >= REPORT_FRESH_MS)
-        ]
+        due = [view for view in self._views.values() if view.wants_probe(now_ms=now_ms)]
         due.sort(key=lambda view: view.report_ms)
         return due[:count]
--- a/pistachiohaven/components/routing/_view.py
+++ b/pistachiohaven/components/routing/_view.py
@@ -11,6 +11,7 @@
 from .const import (
     LOWER_WORK_SHARE,
     REFUSED_HOLD_MS,
+    REPORT_FRESH_MS,
     SPEED_SMOOTHING,
     SUSPECT_FIRST_MS,
     SUSPECT_MAX_MS,
@@ -35,7 +36,8 @@
         self.instance = instance
         self.report: Report | None = None
         self.report_ms = 0
-        self.suspect_until_ms = 0
+        self.suspected = False
+        self.next_probe_ms = 0
         self._suspect_pause_ms = SUSPECT_FIRST_MS
         self._refused_until_ms = [0] * TIER_COUNT
         self._sent: deque[_Sent] = deque()
@@ -64,6 +66,7 @@
             return
         self.report = report
         self.report_ms = measured_ms
+        self._trust()
         while self._sent and self._sent[0].at_ms < measured_ms:
             self._sent.popleft()
 
@@ -74,16 +77,33 @@
 
     def answered(self, *, waited_ms: int, prompt_tokens: int) -> None:
         """Take in the time to the first byte of an answer; the target is well."""
-        self.suspect_until_ms = 0
-        self._suspect_pause_ms = SUSPECT_FIRST_MS
+        self._trust()
         if prompt_tokens:
             self._prefill.add(waited_ms / prompt_tokens)
 
     def suspect(self, *, now_ms: int) -> None:
-        """Leave this target out for a while, longer each time in a row."""
-        self.suspect_until_ms = now_ms + self._suspect_pause_ms
+        """Leave this target out until it speaks again.
+
+        It is probed after a while, longer each time in a row; many requests that
+        fail at once count as one time.
+        """
+        if self.suspected and now_ms < self.next_probe_ms:
+            return
+        self.suspected = True
+        self.next_probe_ms = now_ms + self._suspect_pause_ms
         self._suspect_pause_ms = min(2 * self._suspect_pause_ms, SUSPECT_MAX_MS)
 
+    def _trust(self) -> None:
+        """Take in a sign of life."""
+        self.suspected = False
+        self._suspect_pause_ms = SUSPECT_FIRST_MS
+
+    def wants_probe(self, *, now_ms: int) -> bool:
+        """Return True if this target should be asked for its report."""
+        if self.suspected:
+            return now_ms >= self.next_probe_ms
+        return self.report is None or now_ms - self.report_ms >= REPORT_FRESH_MS
+
     def refused(self, *, rank: int, now_ms: int) -> None:
         """Offer nothing of `rank` or less urgent here for a moment."""
         for held in range(rank, TIER_COUNT):
@@ -91,7 +111,7 @@
 
     def usable(self, *, rank: int, now_ms: int) -> bool:
         """Return True if work of `rank` may be offered here now."""
-        if self.instance.leaving or now_ms < self.suspect_until_ms:
+        if self.instance.leaving or self.suspected:
             return False
         if self.report is None or self.report.phase is not Phase.SERVING:
             return False
--- /dev/null
+++ b/tests/components/routing/test_view.py
@@ -0,0 +1,38 @@
+"""Test that a silent target is left out once, and wins its place back."""
+
+from pistachiohaven.components.routing import TargetView
+from pistachiohaven.components.sidecar import SidecarCore
+from tests.work import make_instance
+
+
+def make_view() -> TargetView:
+    core = SidecarCore(name="a", incarnation="a#1")
+    core.lifecycle.serve()
+    view = TargetView(instance=make_instance("a"))
+    view.take_report(core.report(now_ms=0), measured_ms=0)
+    return view
+
+
+def test_many_failures_at_once_count_as_one() -> None:
+    view = make_view()
+    for _number in range(20):
+        view.suspect(now_ms=10)
+    assert not view.usable(rank=0, now_ms=11)
+    assert view.wants_probe(now_ms=600)
+
+
+def test_silent_target_stays_out_until_it_speaks() -> None:
+    view = make_view()
+    view.suspect(now_ms=10)
+    assert not view.usable(rank=0, now_ms=60_000)
+    assert view.report is not None
+    view.take_report(view.report, measured_ms=60_001)
+    assert view.usable(rank=0, now_ms=60_002)
+
+
+def test_probes_come_more_seldom_while_it_is_silent() -> None:
+    view = make_view()
+    view.suspect(now_ms=0)
+    first_ms = view.next_probe_ms
+    view.suspect(now_ms=first_ms)
+    assert view.next_probe_ms - first_ms > first_ms
