--- a/benchmarks/processes.py
+++ b/benchmarks/processes.py
@@ -17,6 +17,8 @@
 TICKS_PER_S = os.sysconf("SC_CLK_TCK")
 STREAMS = 16
 EVENTS = 256
+IN_FLIGHT = (8, 48)
+HALF_WAY_S = 2.5
 CALLS = 300
 IDLE_S = 10.0
 BARE = (
@@ -111,6 +113,36 @@
         table.add(f"{name} resident after streams, MB", f"{resident_mb(pid):.1f}")
 
 
+def measure_in_flight(table: Table, fleet: Fleet) -> None:
+    """Measure the memory of one more stream in flight, from two loads."""
+    names = ("entry-1", "sidecar-1")
+    held: dict[int, dict[str, float]] = {}
+    for count in IN_FLIGHT:
+        threads = [
+            threading.Thread(
+                target=fleet.ask,
+                args=("entry-1", f"f{count}-{number}"),
+                kwargs={"tokens": EVENTS, "stream": True},
+            )
+            for number in range(count)
+        ]
+        for thread in threads:
+            thread.start()
+        time.sleep(HALF_WAY_S)
+        held[count] = {
+            name: resident_mb(fleet.members[name].process.pid)  # type: ignore[union-attr]
+            for name in names
+        }
+        in_hand = len(fleet.status("sidecar-1")["running"])
+        table.add(f"streams running of {count} sent", in_hand)
+        for thread in threads:
+            thread.join()
+    few, many = IN_FLIGHT
+    for name in names:
+        grown = (held[many][name] - held[few][name]) / (many - few)
+        table.add(f"{name}, KB a stream in flight", f"{grown * 1024:.0f}")
+
+
 def measure_calls(table: Table, fleet: Fleet) -> None:
     """Measure one unstreamed request, and one control call."""
     names = ("entry-1", "sidecar-1")
@@ -149,6 +181,7 @@
         measure_idle(table, fleet)
         measure_calls(table, fleet)
         measure_events(table, fleet)
+        measure_in_flight(table, fleet)
     finally:
         fleet.stop()
     print(table.text())
