--- a/pistachiohaven/components/measure/_plot.py
+++ b/pistachiohaven/components/measure/_plot.py
@@ -13,7 +13,7 @@
 
     rows = [row for row in table.rows if row[0].replace(".", "").isdigit()]
     loads = [float(row[0]) for row in rows]
-    figure = Figure(figsize=(7, 4))
+    figure = Figure(figsize=(7, 4), layout="constrained")
     axes = figure.subplots()
     for rank in range(TIER_COUNT):
         good = [int(row[FIRST_RANK_COLUMN + rank]) for row in rows]
