Remove three constants nothing uses; give the scenarios' callers a file of their own

Change: the three are gone; features/caller.py. No behaviour or check changed. Verified on this tree: 18 scenarios and 148 tests pass; lint and types clean.

--- a/features/steps/callers.py
+++ b/features/steps/callers.py
@@ -8,7 +8,8 @@
 import httpcore
 from behave import then, when
 
-from features.fleet import Caller, Fleet, Reply, eventually, request
+from features.caller import Caller
+from features.fleet import Fleet, Reply, eventually, request
 from features.relay import HOST
 
 HEADERS = {
--- a/features/steps/promises.py
+++ b/features/steps/promises.py
@@ -8,7 +8,8 @@
 
 from behave import given, then, when
 
-from features.fleet import Caller, Fleet, eventually, request, stream
+from features.caller import Caller, stream
+from features.fleet import Fleet, eventually, request
 
 TREE = Path(__file__).resolve().parent.parent / "tree.yaml"
 SLOW = '{"prefill_tokens_per_s": 4000, "token_ms": 25, "max_batch": 4}'
--- a/pistachiohaven/components/dispatch/_record.py
+++ b/pistachiohaven/components/dispatch/_record.py
@@ -19,9 +19,6 @@
     REFUSED = "refused"
 
 
-LIVE_STAGES = frozenset({Stage.QUEUED, Stage.DISPATCHED})
-
-
 @dataclass(slots=True, kw_only=True)
 class Entry:
     """Hold what is recorded of one dispatch id.
--- a/pistachiohaven/components/entry/const.py
+++ b/pistachiohaven/components/entry/const.py
@@ -48,5 +48,3 @@
 SERVICES_PREFIX: Final = "/v1/services/"
 TICKETS_PATH: Final = "/v1/tickets"
 MAX_KEY_CHARACTERS: Final = 512
-SUBSET_POOLS_MAX: Final = 64
-"""Pools of the settings tree that one entry keeps targets of."""
--- a/pistachiohaven/components/stand_in/const.py
+++ b/pistachiohaven/components/stand_in/const.py
@@ -4,8 +4,6 @@
 
 HEARTBEAT_MS: Final = 1_000
 """How often the platform's origin stamps its documents."""
-
-LOG_KEPT: Final = 4_096
 SSE_END: Final = b"data: [DONE]\n\n"
 DEFAULT_MAX_TOKENS: Final = 16
 BYTES_PER_TOKEN: Final = 4
--- a/tests/test_sessions.py
+++ b/tests/test_sessions.py
@@ -10,7 +10,8 @@
 
 import pytest
 
-from features.fleet import Fleet, Reply, eventually, stream
+from features.caller import stream
+from features.fleet import Fleet, Reply, eventually
 
 GOLDEN = Path(__file__).parent / "golden"
 TREE = """\
