Add a gateway that sends straight to targets, and the platform adapter

Cause: the platform has no machine for control, no disk and a store that can only be read, and targets that no sidecar stands beside; the entry and sidecar pair can't serve it. Change: platform/ decodes the platform's messages into the project's types; gateway, placement, quota, exchange and fleet decide; deploy/system.toml runs one gateway on each frontend machine.

--- a/pistachiohaven/bootstrap.py
+++ b/pistachiohaven/bootstrap.py
@@ -1,9 +1,17 @@
 """Start one process of the system from its settings file."""
 
+import sys
+from functools import partial
+
 import trio
 
-from pistachiohaven.config import EntrySettings, SidecarSettings, load
-from pistachiohaven.helpers import log_to
+from pistachiohaven.config import (
+    EntrySettings,
+    GatewaySettings,
+    SidecarSettings,
+    load,
+)
+from pistachiohaven.helpers import log_bounded, log_to
 
 
 def start_entry(path: str) -> None:
@@ -15,6 +23,18 @@
     trio.run(run_entry, settings)
 
 
+def start_gateway(path: str) -> None:
+    """Run a gateway until it has drained."""
+    from pistachiohaven.components.gateway import run_gateway  # noqa: PLC0415
+    from pistachiohaven.components.gateway.const import (  # noqa: PLC0415
+        LOG_BUFFER_LINES,
+    )
+
+    settings = load(path, GatewaySettings)
+    log_lines = log_bounded(sys.stdout.fileno(), max_lines=LOG_BUFFER_LINES)
+    trio.run(partial(run_gateway, settings, path=path, log_lines=log_lines))
+
+
 def start_sidecar(path: str) -> None:
     """Run a sidecar until it has drained."""
     from pistachiohaven.components.sidecar._daemon import run_sidecar  # noqa: PLC0415
--- a/pistachiohaven/components/cli/_commands.py
+++ b/pistachiohaven/components/cli/_commands.py
@@ -24,6 +24,10 @@
         """Run an entry with the settings file SETTINGS."""
         bootstrap.start_entry(settings)
 
+    def gateway(self, *, settings: str) -> None:
+        """Run an entry that sends straight to targets, with the file SETTINGS."""
+        bootstrap.start_gateway(settings)
+
     def sidecar(self, *, settings: str) -> None:
         """Run a sidecar with the settings file SETTINGS."""
         bootstrap.start_sidecar(settings)
--- /dev/null
+++ b/pistachiohaven/components/exchange/__init__.py
@@ -0,0 +1,15 @@
+"""Let entries tell each other what they have running and what they know."""
+
+from ._core import Exchange, Peer, PeerEvents
+from ._messages import Digest, Member, RunningAt, decode_digest, encode_digest
+
+__all__ = [
+    "Digest",
+    "Exchange",
+    "Member",
+    "Peer",
+    "PeerEvents",
+    "RunningAt",
+    "decode_digest",
+    "encode_digest",
+]
--- /dev/null
+++ b/pistachiohaven/components/fleet/__init__.py
@@ -0,0 +1,30 @@
+"""Hold what operators publish: routes, organisations, limits and targets."""
+
+from ._catalogue import Catalogue, Published
+from ._config import FleetConfig, RouteTable
+from ._models import (
+    CallerLimits,
+    Organisation,
+    Pool,
+    RequestKind,
+    Route,
+    Split,
+    Target,
+)
+from ._targets import TargetChange, TargetList
+
+__all__ = [
+    "CallerLimits",
+    "Catalogue",
+    "FleetConfig",
+    "Organisation",
+    "Pool",
+    "Published",
+    "RequestKind",
+    "Route",
+    "RouteTable",
+    "Split",
+    "Target",
+    "TargetChange",
+    "TargetList",
+]
--- /dev/null
+++ b/pistachiohaven/components/gateway/_call.py
@@ -0,0 +1,123 @@
+"""Read a caller's request and find what is to be done with it."""
+
+from dataclasses import dataclass
+
+from result import Err, Ok, Result
+
+from pistachiohaven import platform
+from pistachiohaven.components.fleet import Organisation, Pool, Route, RouteTable
+from pistachiohaven.components.placement import Job
+from pistachiohaven.components.web import Scope
+from pistachiohaven.core import Reason
+
+BAD_REQUEST = 400
+UNAUTHORIZED = 401
+NOT_FOUND = 404
+
+ROUTE_RANKS = 8
+"""Ranks of routes told apart within one rank of organisations."""
+
+Headers = list[tuple[bytes, bytes]]
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class Mistake:
+    """Say why a request is refused before it is scheduled."""
+
+    status: int
+    reason: Reason
+    detail: str = ""
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class Call:
+    """Hold one request as the gateway works on it; times are monotonic."""
+
+    head: platform.CallHead
+    method: str
+    target: bytes
+    headers: Headers
+    route: Route
+    organisation: Organisation | None
+    pool: Pool | None
+    pool_name: str
+    config_version: int
+    arrived_ms: int
+    deadline_ms: int
+    tokens: int
+
+    @property
+    def rank(self) -> int:
+        """Return the request's rank; that of the organisation goes first."""
+        organisation = self.organisation
+        if organisation is None or organisation.rank is None:
+            return self.route.rank
+        return organisation.rank * ROUTE_RANKS + min(self.route.rank, ROUTE_RANKS - 1)
+
+    def job(self) -> Job:
+        """Return the request as the scheduler sees it."""
+        head = self.head
+        output = head.max_output_tokens
+        if head.expected_output_tokens is not None:
+            output = min(head.expected_output_tokens, output or 1)
+        last = head.parts[-1] if head.parts else ("", 0)
+        return Job(
+            request_id=head.attempt_id,
+            pool=self.pool_name,
+            organisation=self.organisation.name if self.organisation else "",
+            rank=self.rank,
+            prompt_tokens=head.prompt_tokens,
+            shared_tokens=sum(tokens for _, tokens in head.parts[:-1]),
+            output_tokens=output,
+            part=last[0],
+            arrived_ms=self.arrived_ms,
+            due_ms=self.arrived_ms + self.route.first_byte_target_ms,
+            deadline_ms=self.deadline_ms,
+        )
+
+
+def read_call(
+    scope: Scope, table: RouteTable, *, fraction: float, now_ms: int
+) -> Result[Call, Mistake]:
+    """Return the request in `scope`; `fraction` (0 to 1) chooses the split."""
+    headers: Headers = [(bytes(n).lower(), bytes(v)) for n, v in scope["headers"]]
+    decoded = platform.decode_call(headers)
+    if isinstance(decoded, Err):
+        mistake = Mistake(
+            status=BAD_REQUEST, reason=Reason.BAD_REQUEST, detail=decoded.err_value
+        )
+        return Err(mistake)
+    head = decoded.ok_value
+    raw_path: bytes = scope["raw_path"]
+    route = table.find_route(head.host, raw_path.decode("latin-1"))
+    if route is None:
+        return Err(Mistake(status=NOT_FOUND, reason=Reason.UNKNOWN_ROUTE))
+    organisation = None
+    if table.needs_key(route):
+        organisation = table.find_organisation(head.key or "")
+        if organisation is None:
+            return Err(Mistake(status=UNAUTHORIZED, reason=Reason.UNKNOWN_KEY))
+    pool_name = table.pick_split(route, fraction).pool
+    left_ms = route.timeout_ms
+    if head.deadline_ms is not None:
+        left_ms = min(left_ms, head.deadline_ms)
+    tokens = head.prompt_tokens + head.max_output_tokens
+    if not head.sized and organisation is not None:
+        tokens = organisation.default_tokens
+    query: bytes = scope["query_string"]
+    return Ok(
+        Call(
+            head=head,
+            method=scope["method"],
+            target=raw_path + (b"?" + query if query else b""),
+            headers=headers,
+            route=route,
+            organisation=organisation,
+            pool=table.config.pools.get(pool_name),
+            pool_name=pool_name,
+            config_version=table.config.version,
+            arrived_ms=now_ms,
+            deadline_ms=now_ms + left_ms,
+            tokens=tokens,
+        )
+    )
--- /dev/null
+++ b/pistachiohaven/components/gateway/_connections.py
@@ -0,0 +1,159 @@
+"""Keep connections to targets and tell what became of a request sent on one."""
+
+from collections.abc import AsyncIterator
+from dataclasses import dataclass
+
+import httpcore
+import trio
+from result import Err, Ok, Result
+
+from pistachiohaven.const import MS_PER_S
+from pistachiohaven.helpers import Clock
+
+from .const import (
+    CONNECT_TIMEOUT_MS,
+    IDLE_DEFAULT_MS,
+    IDLE_MARGIN_MS,
+    IDLE_PER_TARGET,
+)
+
+Headers = list[tuple[bytes, bytes]]
+
+CONNECTION_ERRORS = (
+    httpcore.NetworkError,
+    httpcore.ProtocolError,
+    httpcore.TimeoutException,
+    OSError,
+    trio.BrokenResourceError,
+    trio.ClosedResourceError,
+)
+"""What httpcore and trio raise when a connection fails."""
+
+
+@dataclass(slots=True, kw_only=True)
+class Connection:
+    """Hold one connection to a target; `idle_ms` is when it was last used."""
+
+    http: httpcore.AsyncHTTP11Connection
+    address: str
+    opened: bool
+    idle_ms: int = 0
+    keep_ms: int = IDLE_DEFAULT_MS
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class AnswerHead:
+    """Hold the status and headers of an answer; names are lower case."""
+
+    status: int
+    headers: Headers
+    response: httpcore.Response
+
+
+class ConnectionPool:
+    """Keep idle connections by target address, the last used first."""
+
+    def __init__(self, *, clock: Clock) -> None:
+        self._clock = clock
+        self._backend = httpcore.TrioBackend()
+        self._idle: dict[str, list[Connection]] = {}
+        self.opened = 0
+
+    async def take(self, address: str) -> Result[Connection, str]:
+        """Return a connection to `address`; an error means that nothing was sent."""
+        now_ms = self._clock.now_ms()
+        idle = self._idle.get(address, [])
+        while idle:
+            connection = idle.pop()
+            age_ms = now_ms - connection.idle_ms
+            if age_ms < connection.keep_ms and not connection.http.has_expired():
+                connection.opened = False
+                return Ok(connection)
+            await self.close(connection)
+        return await self._open(address)
+
+    async def give_back(self, connection: Connection, headers: Headers) -> None:
+        """Keep a connection whose answer is whole, unless the target closes it."""
+        idle = self._idle.setdefault(connection.address, [])
+        if not connection.http.is_idle() or len(idle) >= IDLE_PER_TARGET:
+            await self.close(connection)
+            return
+        connection.idle_ms = self._clock.now_ms()
+        connection.keep_ms = _keep_ms(headers)
+        if connection.keep_ms <= 0:
+            await self.close(connection)
+            return
+        idle.append(connection)
+
+    async def close(self, connection: Connection) -> None:
+        """Close a connection; the target then drops what it was doing on it."""
+        with trio.CancelScope(shield=True, deadline=trio.current_time() + 1):
+            await connection.http.aclose()
+
+    async def drop(self, address: str) -> None:
+        """Close the idle connections to a target that is gone."""
+        for connection in self._idle.pop(address, []):
+            await self.close(connection)
+
+    async def _open(self, address: str) -> Result[Connection, str]:
+        host, _, port = address.rpartition(":")
+        self.opened += 1
+        try:
+            stream = await self._backend.connect_tcp(
+                host, int(port), timeout=CONNECT_TIMEOUT_MS / MS_PER_S
+            )
+        except CONNECTION_ERRORS as error:
+            return Err(type(error).__name__)
+        origin = httpcore.Origin(b"http", host.encode(), int(port))
+        http = httpcore.AsyncHTTP11Connection(origin=origin, stream=stream)
+        return Ok(Connection(http=http, address=address, opened=True))
+
+
+async def send(
+    connection: Connection,
+    *,
+    method: str,
+    target: bytes,
+    headers: Headers,
+    body: bytes,
+) -> AnswerHead:
+    """Send one request and return the head of its answer.
+
+    Raises one of `CONNECTION_ERRORS`; then the request may have run.
+    """
+    host, _, port = connection.address.rpartition(":")
+    url = httpcore.URL(
+        scheme=b"http", host=host.encode(), port=int(port), target=target
+    )
+    request = httpcore.Request(
+        method=method, url=url, headers=headers, content=body or None
+    )
+    response = await connection.http.handle_async_request(request)
+    lower = [(name.lower(), value) for name, value in response.headers]
+    return AnswerHead(status=response.status, headers=lower, response=response)
+
+
+async def read_chunks(head: AnswerHead) -> AsyncIterator[bytes]:
+    """Yield the body of an answer; raises if it breaks off before its end."""
+    stream = head.response.stream
+    assert not isinstance(stream, bytes)
+    async for chunk in stream:  # type: ignore[union-attr]
+        yield chunk
+
+
+async def finish(head: AnswerHead) -> None:
+    """Release the connection of an answer that was read to its end."""
+    await head.response.aclose()
+
+
+def _keep_ms(headers: Headers) -> int:
+    """Return how long the target keeps the connection, less a margin."""
+    for name, value in headers:
+        if name == b"connection" and b"close" in value.lower():
+            return 0
+        if name == b"keep-alive":
+            for part in value.split(b","):
+                key, _, seconds = part.strip().partition(b"=")
+                if key.lower() == b"timeout" and seconds.isdigit():
+                    return int(seconds) * MS_PER_S - IDLE_MARGIN_MS
+    return IDLE_DEFAULT_MS
--- /dev/null
+++ b/pistachiohaven/components/gateway/_daemon.py
@@ -0,0 +1,121 @@
+"""Run one gateway."""
+
+import signal
+
+import trio
+
+from pistachiohaven.components.web import Server, ServerOptions, listen
+from pistachiohaven.config import GatewaySettings, load
+from pistachiohaven.const import MS_PER_S
+from pistachiohaven.exceptions import SettingsError
+from pistachiohaven.helpers import BoundedLog, Clock
+
+from ._app import GatewayApp
+from ._connections import ConnectionPool
+from ._follow import Follower
+from ._peers import PeerLink
+from ._state import GatewayState
+from .const import (
+    DRAIN_ACCEPT_MS,
+    DRAIN_MARGIN_MS,
+    LOG_FLUSH_MS,
+    TICK_MS,
+)
+
+
+async def run_gateway(
+    settings: GatewaySettings,
+    *,
+    path: str = "",
+    log_lines: BoundedLog | None = None,
+    clock: Clock | None = None,
+) -> None:
+    """Serve callers until told to stop and drained; `path` is the settings file."""
+    clock = clock or Clock()
+    state = GatewayState(settings=settings, clock=clock)
+    pool = ConnectionPool(clock=clock)
+    app = GatewayApp(state=state, pool=pool, log_lines=log_lines)
+    grace_s = settings.stop_grace_s - (DRAIN_ACCEPT_MS + DRAIN_MARGIN_MS) / MS_PER_S
+    options = ServerOptions(grace_s=max(grace_s, 0.0))
+    addresses = (settings.listen, settings.listen_readiness, settings.control_address)
+    server = Server(
+        listeners=[listen(address) for address in addresses], options=options
+    )
+    state.log.info(
+        "started", name=settings.name, incarnation=state.incarnation, path=path
+    )
+    stop = trio.Event()
+    async with trio.open_nursery() as nursery:
+        follower = Follower(state=state)
+        nursery.start_soon(follower.run)
+        nursery.start_soon(follower.follow_peers)
+        nursery.start_soon(PeerLink(state=state).run)
+        nursery.start_soon(state.placer.run)
+        nursery.start_soon(_follow_limits, state, server, options, pool)
+        nursery.start_soon(_stop_on_signal, state, app, stop)
+        nursery.start_soon(_reload_on_signal, state, path)
+        if log_lines is not None:
+            nursery.start_soon(_flush_logs, log_lines)
+        await server.serve(app, stop)
+        nursery.cancel_scope.cancel()
+    state.log.info("stopped", in_flight=app.in_flight)
+    if log_lines is not None:
+        log_lines.flush()
+
+
+async def _stop_on_signal(
+    state: GatewayState, app: GatewayApp, stop: trio.Event
+) -> None:
+    """Leave on SIGTERM: first the balancer, then new requests, then the process."""
+    with trio.open_signal_receiver(signal.SIGTERM, signal.SIGINT) as signals:
+        async for number in signals:
+            state.leaving_since_ms = state.clock.now_ms()
+            state.log.info("leaving", signal=number, in_flight=app.in_flight)
+            break
+        await trio.sleep(DRAIN_ACCEPT_MS / MS_PER_S)
+        stop.set()
+        await trio.sleep_forever()
+
+
+async def _reload_on_signal(state: GatewayState, path: str) -> None:
+    """Check the settings file again on SIGHUP; addresses need a restart."""
+    with trio.open_signal_receiver(signal.SIGHUP) as signals:
+        async for _ in signals:
+            try:
+                settings = load(path, GatewaySettings)
+            except SettingsError as error:
+                state.log.info("settings_rejected", error=str(error))
+                continue
+            changed = [
+                name
+                for name in GatewaySettings.model_fields
+                if getattr(settings, name) != getattr(state.settings, name)
+            ]
+            state.reload(settings)
+            state.log.info("settings_reloaded", changed=changed)
+
+
+async def _follow_limits(
+    state: GatewayState, server: Server, options: ServerOptions, pool: ConnectionPool
+) -> None:
+    """Hold connections to the operators' limits and let go of gone targets."""
+    while True:
+        if state.table is not None:
+            limits = state.table.config.limits
+            server.set_options(
+                ServerOptions(
+                    keep_alive_s=limits.idle_timeout_ms / MS_PER_S,
+                    grace_s=options.grace_s,
+                    max_header_bytes=limits.max_header_bytes,
+                )
+            )
+        state.expire_targets()
+        while state.gone_addresses:
+            await pool.drop(state.gone_addresses.pop())
+        await trio.sleep(TICK_MS * 5 / MS_PER_S)
+
+
+async def _flush_logs(log_lines: BoundedLog) -> None:
+    while True:
+        log_lines.flush()
+        await trio.sleep(LOG_FLUSH_MS / MS_PER_S)
--- /dev/null
+++ b/pistachiohaven/components/gateway/_metrics.py
@@ -0,0 +1,69 @@
+"""Count what a gateway does, for Prometheus."""
+
+from prometheus_client import CollectorRegistry, Counter, Gauge, Histogram
+
+LATENCY_BUCKETS_S = (0.025, 0.05, 0.1, 0.2, 0.4, 0.8, 1.6, 3.2, 6.4, 15.0)
+"""Doubling steps round the first-byte targets of 0.1 s to 0.8 s."""
+
+
+class GatewayMetrics:
+    """Hold the counters of one gateway."""
+
+    def __init__(self) -> None:
+        self.registry = CollectorRegistry()
+        self.answers = Counter(
+            "gateway_answers",
+            "Requests by status told and reason",
+            ["status", "reason", "rank"],
+            registry=self.registry,
+        )
+        self.dispatches = Counter(
+            "gateway_dispatches",
+            "Dispatches to targets by how they ended",
+            ["pool", "end"],
+            registry=self.registry,
+        )
+        self.first_byte_s = Histogram(
+            "gateway_first_byte_seconds",
+            "Time from a request's head to the first byte of its answer",
+            ["rank"],
+            buckets=LATENCY_BUCKETS_S,
+            registry=self.registry,
+        )
+        self.wait_s = Histogram(
+            "gateway_wait_seconds",
+            "Time that a request waited for a place",
+            ["rank"],
+            buckets=LATENCY_BUCKETS_S,
+            registry=self.registry,
+        )
+        self.waiting = Gauge(
+            "gateway_waiting", "Requests that wait for a place", registry=self.registry
+        )
+        self.in_flight = Gauge(
+            "gateway_in_flight", "Requests being served", registry=self.registry
+        )
+        self.config_version = Gauge(
+            "gateway_config_version", "Configuration in force", registry=self.registry
+        )
+        self.revision = Gauge(
+            "gateway_store_revision",
+            "Newest published change taken in",
+            registry=self.registry,
+        )
+        self.live_peers = Gauge(
+            "gateway_live_peers", "Gateways heard of lately", registry=self.registry
+        )
+        self.connections_opened = Gauge(
+            "gateway_connections_opened",
+            "Connections opened to targets since the start",
+            registry=self.registry,
+        )
+        self.store_reads = Gauge(
+            "gateway_store_reads", "Reads of the store", registry=self.registry
+        )
+        self.dropped_log_lines = Gauge(
+            "gateway_dropped_log_lines",
+            "Log lines that standard output did not take in time",
+            registry=self.registry,
+        )
--- a/pistachiohaven/components/node/_node.py
+++ b/pistachiohaven/components/node/_node.py
@@ -14,7 +14,7 @@
 from pistachiohaven.components.membership import Membership
 from pistachiohaven.components.peer import decode, encode
 from pistachiohaven.components.peer.const import SYNC_PATH
-from pistachiohaven.components.platform import (
+from pistachiohaven.components.publisher import (
     InstancesAnswer,
     PlatformClient,
     SettingsAnswer,
--- /dev/null
+++ b/pistachiohaven/components/quota/__init__.py
@@ -0,0 +1,5 @@
+"""Hold organisations to their token rates over all entries together."""
+
+from ._core import QuotaLedger, QuotaTolerance
+
+__all__ = ["QuotaLedger", "QuotaTolerance"]
--- /dev/null
+++ b/pistachiohaven/components/quota/_core.py
@@ -0,0 +1,169 @@
+"""Keep a token bucket for each organisation that all entries draw from."""
+
+from dataclasses import dataclass, field
+
+from pistachiohaven.components.fleet import Organisation
+from pistachiohaven.const import MS_PER_S
+
+from .const import (
+    FORGET_MS,
+    MAX_RETRY_MS,
+    OVERDRAFT_SHARE,
+    SILENT_MS,
+    START_SHARE,
+)
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class QuotaTolerance:
+    """Say by how much an organisation may exceed its rate.
+
+    In a span of `window_s`, that is `overage` of what the rate and burst allow, plus
+    `tokens`.
+    """
+
+    window_s: float = 8.0
+    overage: float = 0.0
+    tokens: float = 0.0
+
+
+@dataclass(slots=True, kw_only=True)
+class _Bucket:
+    """Hold one organisation's tokens; `level` may fall to minus `overdraft`."""
+
+    rate_per_s: float
+    burst: float
+    overdraft: float
+    level: float
+    filled_ms: int
+    used: int = 0
+
+
+@dataclass(slots=True, kw_only=True)
+class _Peer:
+    heard_ms: int
+    charged_ms: int
+    used: dict[str, int] = field(default_factory=dict)
+
+
+class QuotaLedger:
+    """Decide whether a request fits its organisation's rate.
+
+    Each entry draws its own use at once and that of the others as they report it. An
+    entry that is not heard of is charged its even share of the rate, so that entries
+    which can't reach each other stay within the limit together.
+    """
+
+    def __init__(self, *, tolerance: QuotaTolerance | None = None) -> None:
+        self._tolerance = tolerance or QuotaTolerance()
+        self._buckets: dict[str, _Bucket] = {}
+        self._peers: dict[str, _Peer] = {}
+
+    def configure(
+        self, organisations: tuple[Organisation, ...], *, now_ms: int
+    ) -> None:
+        """Take in the rates of a new configuration; levels are kept."""
+        old = self._buckets
+        self._buckets = {}
+        for each in organisations:
+            if each.tokens_per_s <= 0:
+                continue
+            before = old.get(each.name)
+            level = each.burst_tokens * START_SHARE
+            if before is not None:
+                self._fill(before, now_ms=now_ms)
+                level = min(before.level, each.burst_tokens)
+            self._buckets[each.name] = _Bucket(
+                rate_per_s=each.tokens_per_s,
+                burst=each.burst_tokens,
+                overdraft=self._overdraft(each),
+                level=level,
+                filled_ms=now_ms,
+                used=before.used if before else 0,
+            )
+
+    def charge(self, organisation: str, tokens: int, *, now_ms: int) -> int | None:
+        """Draw `tokens`; return None, or the milliseconds until they would fit."""
+        bucket = self._buckets.get(organisation)
+        if bucket is None:
+            return None
+        self._charge_silent(now_ms=now_ms)
+        self._fill(bucket, now_ms=now_ms)
+        wanted = min(float(tokens), bucket.burst)
+        if bucket.level + bucket.overdraft < wanted:
+            missing = wanted - bucket.level - bucket.overdraft
+            wait_ms = int(missing * MS_PER_S / bucket.rate_per_s) + 1
+            return min(wait_ms, MAX_RETRY_MS)
+        bucket.level -= tokens
+        bucket.used += tokens
+        return None
+
+    def refund(self, organisation: str, tokens: int) -> None:
+        """Give back the tokens of a request that did not run."""
+        bucket = self._buckets.get(organisation)
+        if bucket is None:
+            return
+        bucket.level = min(bucket.level + tokens, bucket.burst)
+        bucket.used -= tokens
+
+    def used(self) -> dict[str, int]:
+        """Return the tokens drawn here since the start, by organisation."""
+        return {name: bucket.used for name, bucket in self._buckets.items()}
+
+    def left(self, organisation: str) -> int | None:
+        """Return the tokens left, below zero if overdrawn; None without a limit."""
+        bucket = self._buckets.get(organisation)
+        return None if bucket is None else int(bucket.level)
+
+    def oldest_word_ms(self, *, now_ms: int) -> int:
+        """Return the age of the oldest of the peers' last words."""
+        ages = [now_ms - peer.heard_ms for peer in self._peers.values()]
+        return max(ages, default=0)
+
+    def take_peer(self, peer: str, used: dict[str, int], *, now_ms: int) -> None:
+        """Draw what `peer` (one incarnation of an entry) used since its last word."""
+        known = self._peers.get(peer)
+        if known is None:
+            known = _Peer(heard_ms=now_ms, charged_ms=now_ms)
+            self._peers[peer] = known
+            known.used = dict(used)
+            return
+        for name, total in used.items():
+            bucket = self._buckets.get(name)
+            if bucket is not None:
+                bucket.level -= total - known.used.get(name, 0)
+        known.used = dict(used)
+        known.heard_ms = now_ms
+        known.charged_ms = now_ms
+
+    def drop_peer(self, peer: str) -> None:
+        """Forget an incarnation that has ended."""
+        self._peers.pop(peer, None)
+
+    def _overdraft(self, organisation: Organisation) -> float:
+        tolerance = self._tolerance
+        allowed = (
+            organisation.tokens_per_s * tolerance.window_s + organisation.burst_tokens
+        )
+        return OVERDRAFT_SHARE * (tolerance.overage * allowed + tolerance.tokens)
+
+    def _fill(self, bucket: _Bucket, *, now_ms: int) -> None:
+        gained = (now_ms - bucket.filled_ms) * bucket.rate_per_s / MS_PER_S
+        bucket.level = min(bucket.level + gained, bucket.burst)
+        bucket.filled_ms = now_ms
+
+    def _charge_silent(self, *, now_ms: int) -> None:
+        """Charge each silent peer its even share of every rate."""
+        for name, peer in list(self._peers.items()):
+            silent_ms = now_ms - peer.heard_ms
+            if silent_ms > FORGET_MS:
+                del self._peers[name]
+            elif silent_ms > SILENT_MS:
+                self._charge_share(now_ms - peer.charged_ms)
+                peer.charged_ms = now_ms
+
+    def _charge_share(self, span_ms: int) -> None:
+        entries = len(self._peers) + 1
+        for bucket in self._buckets.values():
+            bucket.level -= bucket.rate_per_s * span_ms / MS_PER_S / entries
+            bucket.level = max(bucket.level, -bucket.burst)
--- a/pistachiohaven/components/stand_in/_platform.py
+++ b/pistachiohaven/components/stand_in/_platform.py
@@ -8,13 +8,13 @@
 import trio
 from result import Err
 
-from pistachiohaven.components.platform import (
+from pistachiohaven.components.publisher import (
     InstanceRecord,
     InstancesAnswer,
     SettingsAnswer,
     VersionRecord,
 )
-from pistachiohaven.components.platform.const import INSTANCES_PATH, SETTINGS_PATH
+from pistachiohaven.components.publisher.const import INSTANCES_PATH, SETTINGS_PATH
 from pistachiohaven.components.web import (
     HttpRequest,
     Receive,
--- a/pistachiohaven/components/web/__init__.py
+++ b/pistachiohaven/components/web/__init__.py
@@ -13,7 +13,7 @@
     start_stream,
 )
 from ._client import CallError, call, make_pool
-from ._serve import Listener, listen, serve
+from ._serve import Listener, Server, ServerOptions, listen, serve
 
 __all__ = [
     "App",
@@ -24,6 +24,8 @@
     "Receive",
     "Scope",
     "Send",
+    "Server",
+    "ServerOptions",
     "call",
     "listen",
     "make_pool",
--- a/pistachiohaven/components/web/_serve.py
+++ b/pistachiohaven/components/web/_serve.py
@@ -41,28 +41,57 @@
     return Listener(sock=sock, address=f"{bound_host}:{bound_port}")
 
 
-def _config(listener: Listener) -> Config:
+@dataclass(frozen=True, slots=True, kw_only=True)
+class ServerOptions:
+    """Hold how long connections are kept and how large a head may be.
+
+    `grace_s` is how long a stopping server lets requests finish.
+    """
+
+    keep_alive_s: float = KEEP_ALIVE_S
+    grace_s: float = SHUTDOWN_GRACE_S
+    max_header_bytes: int = MAX_HEADER_BYTES
+
+
+class Server:
+    """Serve one application on several listeners under trio."""
+
+    def __init__(
+        self, *, listeners: list[Listener], options: ServerOptions | None = None
+    ) -> None:
+        self._config = _config(listeners)
+        self.set_options(options or ServerOptions())
+
+    def set_options(self, options: ServerOptions) -> None:
+        """Use `options` from now on, also for open connections."""
+        self._config.graceful_timeout = options.grace_s
+        self._config.keep_alive_timeout = options.keep_alive_s
+        self._config.h11_max_incomplete_size = options.max_header_bytes
+
+    async def serve(self, app: App, stop: trio.Event) -> None:
+        """Serve `app` until `stop` is set, then let requests finish."""
+        await hypercorn_serve(
+            cast(ASGIFramework, partial(_route, app)),
+            self._config,
+            shutdown_trigger=partial(_wait, stop),
+            mode="asgi",
+        )
+
+
+def _config(listeners: list[Listener]) -> Config:
     config = Config()
-    config.bind = [f"fd://{listener.sock.detach()}"]
+    config.bind = [f"fd://{listener.sock.detach()}" for listener in listeners]
     config.accesslog = None
     config.loglevel = "WARNING"
     config.backlog = BACKLOG
-    config.graceful_timeout = SHUTDOWN_GRACE_S
-    config.keep_alive_timeout = KEEP_ALIVE_S
     config.keep_alive_max_requests = MAX_KEEP_ALIVE_REQUESTS
-    config.h11_max_incomplete_size = MAX_HEADER_BYTES
     config.include_server_header = False
     return config
 
 
 async def serve(app: App, listener: Listener, stop: trio.Event) -> None:
     """Serve `app` on `listener` until `stop` is set."""
-    await hypercorn_serve(
-        cast(ASGIFramework, partial(_route, app)),
-        _config(listener),
-        shutdown_trigger=partial(_wait, stop),
-        mode="asgi",
-    )
+    await Server(listeners=[listener]).serve(app, stop)
 
 
 async def _route(app: App, scope: Scope, receive: Receive, send: Send) -> None:
--- a/pistachiohaven/core.py
+++ b/pistachiohaven/core.py
@@ -67,6 +67,13 @@
     RETRY_BUDGET = "retry_budget"
     ATTEMPTS_SPENT = "attempts_spent"
     CALLER_LEFT = "caller_left"
+    UNKNOWN_ROUTE = "unknown_route"
+    UNKNOWN_KEY = "unknown_key"
+    OVER_QUOTA = "over_quota"
+    NO_ANSWER = "no_answer"
+    TARGET_ERROR = "target_error"
+    STREAM_BROKEN = "stream_broken"
+    INTERNAL = "internal"
 
 
 NOT_BURIED = frozenset({Reason.WRONG_INCARNATION, Reason.OFFER_EXPIRED})
--- /dev/null
+++ b/pistachiohaven/platform/__init__.py
@@ -0,0 +1,51 @@
+"""Translate between the users' platform and the project's own types."""
+
+from ._calls import (
+    CallHead,
+    CallHeadError,
+    answer_attempt,
+    answer_headers,
+    decode_call,
+    encode_dispatch,
+    encode_refusal,
+    is_stamped,
+    never_ran,
+)
+from ._configuration import ConfigurationError, decode_configuration
+from ._store import (
+    Deletion,
+    Item,
+    Snapshot,
+    StoreClient,
+    StoreError,
+    decode_changes,
+    decode_item,
+)
+from ._targets import TargetError, decode_target
+from .const import CONFIG_KEY, READINESS_PATH, TARGETS_PREFIX
+
+__all__ = [
+    "CONFIG_KEY",
+    "READINESS_PATH",
+    "TARGETS_PREFIX",
+    "CallHead",
+    "CallHeadError",
+    "ConfigurationError",
+    "Deletion",
+    "Item",
+    "Snapshot",
+    "StoreClient",
+    "StoreError",
+    "TargetError",
+    "answer_attempt",
+    "answer_headers",
+    "decode_call",
+    "decode_changes",
+    "decode_configuration",
+    "decode_item",
+    "decode_target",
+    "encode_dispatch",
+    "encode_refusal",
+    "is_stamped",
+    "never_ran",
+]
--- /dev/null
+++ b/pistachiohaven/platform/_configuration.py
@@ -0,0 +1,152 @@
+"""Decode the operator's configuration."""
+
+from enum import StrEnum
+
+import msgspec
+from result import Err, Ok, Result
+
+from pistachiohaven.components.fleet import (
+    CallerLimits,
+    FleetConfig,
+    Organisation,
+    Pool,
+    RequestKind,
+    Route,
+    Split,
+)
+
+
+class ConfigurationError(StrEnum):
+    """Name why a configuration is not taken."""
+
+    UNREADABLE = "unreadable"
+
+
+class _Split(msgspec.Struct, kw_only=True):
+    service: str
+    weight: int = 1
+
+
+class _Route(msgspec.Struct, kw_only=True, rename="camel"):
+    name: str
+    host: str
+    prefix: str
+    kind: str
+    timeout_ms: int
+    target_latency_ms: int = 0
+    priority: int = 0
+    service: str | None = None
+    traffic_split: list[_Split] = []
+    attempts: int = 1
+    public: bool = False
+    stream_resumption: bool = False
+    itl_target_ms: int = 0
+
+    def route(self) -> Route:
+        """Return the route in the project's types."""
+        splits = tuple(
+            Split(pool=split.service, weight=split.weight)
+            for split in self.traffic_split
+            if split.weight > 0
+        )
+        if not splits and self.service is not None:
+            splits = (Split(pool=self.service, weight=1),)
+        return Route(
+            name=self.name,
+            host=self.host,
+            prefix=self.prefix,
+            kind=_KINDS.get(self.kind, RequestKind.ONCE),
+            rank=self.priority,
+            timeout_ms=self.timeout_ms,
+            first_byte_target_ms=self.target_latency_ms,
+            event_gap_target_ms=self.itl_target_ms,
+            max_targets=max(self.attempts, 1),
+            public=self.public,
+            resumable=self.stream_resumption,
+            splits=splits,
+        )
+
+
+_KINDS = {
+    "idempotent": RequestKind.IDEMPOTENT,
+    "non_idempotent": RequestKind.ONCE,
+    "streaming": RequestKind.STREAM,
+}
+
+
+class _Engine(msgspec.Struct, kw_only=True, rename="camel"):
+    kv_cache_tokens: int = 0
+    stride: int = 1
+
+
+class _Service(msgspec.Struct, kw_only=True, rename="camel"):
+    name: str
+    connection_limit: int = 0
+    engine: _Engine | None = None
+
+    def pool(self) -> Pool:
+        """Return the pool in the project's types."""
+        return Pool(
+            name=self.name,
+            engine=self.engine is not None,
+            connection_limit=self.connection_limit,
+            cache_tokens=self.engine.kv_cache_tokens if self.engine else 0,
+            event_tokens=max(self.engine.stride, 1) if self.engine else 1,
+        )
+
+
+class _Limits(msgspec.Struct, kw_only=True, rename="camel"):
+    max_header_bytes: int = 16_384
+    max_body_bytes: int = 4_194_304
+    header_timeout_ms: int = 3_000
+    idle_timeout_ms: int = 15_000
+
+
+class _Tenant(msgspec.Struct, kw_only=True, rename="camel"):
+    name: str
+    api_keys: list[str] = []
+    priority: int | None = None
+    uncached_tokens: int = 0
+    rate_per_s: float = 0.0
+    burst: float = 0.0
+
+    def organisation(self) -> Organisation:
+        """Return the organisation in the project's types.
+
+        `uncachedTokens` is what a request without token counts is charged.
+        """
+        return Organisation(
+            name=self.name,
+            keys=frozenset(self.api_keys),
+            rank=self.priority,
+            tokens_per_s=self.rate_per_s,
+            burst_tokens=self.burst,
+            default_tokens=self.uncached_tokens,
+        )
+
+
+class _Configuration(msgspec.Struct, kw_only=True):
+    version: int
+    routes: list[_Route]
+    services: list[_Service] = []
+    limits: _Limits = msgspec.field(default_factory=_Limits)
+    tenants: list[_Tenant] = []
+
+
+def decode_configuration(value: bytes) -> Result[FleetConfig, ConfigurationError]:
+    """Return the configuration in `value`."""
+    try:
+        read = msgspec.json.decode(value, type=_Configuration)
+    except (msgspec.DecodeError, msgspec.ValidationError):
+        return Err(ConfigurationError.UNREADABLE)
+    routes = tuple(each.route() for each in read.routes)
+    limits = CallerLimits(**msgspec.structs.asdict(read.limits))
+    return Ok(
+        FleetConfig(
+            version=read.version,
+            routes=tuple(route for route in routes if route.splits),
+            pools={each.name: each.pool() for each in read.services},
+            organisations=tuple(each.organisation() for each in read.tenants),
+            limits=limits,
+        )
+    )
--- /dev/null
+++ b/pistachiohaven/platform/_targets.py
@@ -0,0 +1,68 @@
+"""Decode the entries by which targets register."""
+
+from enum import StrEnum
+
+import msgspec
+from result import Err, Ok, Result
+
+from pistachiohaven.components.fleet import Target
+from pistachiohaven.components.fleet.const import DEFAULT_SLOTS
+
+from .const import TARGETS_PREFIX
+
+
+class TargetError(StrEnum):
+    """Name why an entry names no target to use."""
+
+    UNREADABLE = "unreadable"
+    UNKNOWN_STATE = "unknown_state"
+    BAD_ADDRESS = "bad_address"
+
+
+class _Entry(msgspec.Struct, kw_only=True, rename="camel"):
+    service: str
+    address: str
+    state: str
+    zone: str = ""
+    slots: int = DEFAULT_SLOTS
+    born: int = 0
+
+
+_LEAVING = {"ready": False, "draining": True}
+_MAX_PORT = 65_535
+_OCTETS = 4
+
+
+def decode_target(key: str, value: bytes) -> Result[Target, TargetError]:
+    """Return the target that registers under `key`.
+
+    `born` tells lives of a target apart that share a name.
+    """
+    try:
+        entry = msgspec.json.decode(value, type=_Entry)
+    except (msgspec.DecodeError, msgspec.ValidationError, UnicodeDecodeError):
+        return Err(TargetError.UNREADABLE)
+    leaving = _LEAVING.get(entry.state)
+    if leaving is None:
+        return Err(TargetError.UNKNOWN_STATE)
+    if not _is_address(entry.address):
+        return Err(TargetError.BAD_ADDRESS)
+    return Ok(
+        Target(
+            name=key.removeprefix(TARGETS_PREFIX),
+            pool=entry.service,
+            address=entry.address,
+            data_centre=entry.zone,
+            slots=max(entry.slots, 1),
+            leaving=leaving,
+            started_ms=entry.born,
+        )
+    )
+
+
+def _is_address(text: str) -> bool:
+    host, _, port = text.rpartition(":")
+    octets = host.split(".")
+    if len(octets) != _OCTETS or not all(part.isdigit() for part in octets):
+        return False
+    return port.isdigit() and 0 < int(port) <= _MAX_PORT
