Keep a connection usable after an answer when its caller is reported gone

Cause: hypercorn reports http.disconnect while it makes a connection ready for the next request; the watcher then cancelled the task that did so, and the connection stayed open and unread. Change: the last part of an answer is sent shielded, and a disconnect after it cancels nothing. Refusals log the request's id.

--- a/pistachiohaven/components/gateway/_app.py
+++ b/pistachiohaven/components/gateway/_app.py
@@ -6,6 +6,7 @@
 from prometheus_client import generate_latest
 from result import Err
 
+from pistachiohaven import platform
 from pistachiohaven.components.web import (
     BodyError,
     Receive,
@@ -80,11 +81,15 @@
         mistake = self._closed(leaving, now_ms=now_ms)
         table = state.table
         if mistake is not None or table is None:
-            await self._refuse(reply, mistake or _NO_CONFIG, None, MIN_STORE_ANSWER_MS)
+            attempt_id = platform.find_attempt(scope["headers"])
+            mistake = mistake or _NO_CONFIG
+            await self._refuse(reply, mistake, attempt_id, MIN_STORE_ANSWER_MS)
             return
         read = read_call(scope, table, fraction=state.rng.random(), now_ms=now_ms)
         if isinstance(read, Err):
-            await self._refuse(reply, self._checked(read.err_value), None, MIN_RETRY_MS)
+            attempt_id = platform.find_attempt(scope["headers"])
+            mistake = self._checked(read.err_value)
+            await self._refuse(reply, mistake, attempt_id, MIN_RETRY_MS)
             return
         self.in_flight += 1
         state.metrics.in_flight.set(self.in_flight)
@@ -126,14 +131,14 @@
                 return
             status, reason = _BODY_STATUS[body.err_value]
             mistake = Mistake(status=status, reason=reason)
-            await self._refuse(reply, mistake, call, MIN_RETRY_MS)
+            await self._refuse(reply, mistake, call.head.attempt_id, MIN_RETRY_MS)
             return
         run = RequestRun(
             state=state, pool=self._pool, call=call, body=body.ok_value, reply=reply
         )
         broken: BrokenAnswerError | None = None
         async with trio.open_nursery() as nursery:
-            nursery.start_soon(_watch_caller, receive, nursery.cancel_scope)
+            nursery.start_soon(_watch_caller, receive, reply, nursery.cancel_scope)
             try:
                 await run.run()
             except BrokenAnswerError as error:
@@ -144,14 +149,17 @@
         self._log_end(call, reply, end, detail=str(broken) if broken else "")
 
     async def _refuse(
-        self, reply: Reply, mistake: Mistake, call: Call | None, retry_after_ms: int
+        self,
+        reply: Reply,
+        mistake: Mistake,
+        attempt_id: str | None,
+        retry_after_ms: int,
     ) -> None:
         """Refuse a request that is not scheduled."""
         state = self._state
         retryable = mistake.status in (UNAVAILABLE, REQUEST_TIMEOUT)
         if mistake.status in (BAD_REQUEST, TOO_LARGE, REQUEST_TIMEOUT):
             reply.close_after()
-        attempt_id = call.head.attempt_id if call else None
         await reply.own(
             mistake.status,
             attempt_id=attempt_id,
@@ -259,8 +267,11 @@
     return int(address.rpartition(":")[2])
 
 
-async def _watch_caller(receive: Receive, scope: trio.CancelScope) -> None:
-    """Cancel `scope` when the caller closes its connection."""
+async def _watch_caller(
+    receive: Receive, reply: Reply, scope: trio.CancelScope
+) -> None:
+    """Cancel `scope` if the caller closes its connection before its answer is sent."""
     while (await receive())["type"] != "http.disconnect":
         pass
-    scope.cancel()
+    if not reply.done:
+        scope.cancel()
--- a/pistachiohaven/components/gateway/_dispatch.py
+++ b/pistachiohaven/components/gateway/_dispatch.py
@@ -178,7 +178,7 @@
 
     def _problem(self, head: AnswerHead) -> str | None:
         """Return why an answer can't be this request's, None if it can."""
-        attempt = platform.answer_attempt(head.headers)
+        attempt = platform.find_attempt(head.headers)
         if attempt is not None and attempt != self._call.head.attempt_id:
             return "answer of another request"
         if head.status not in OK_STATUSES:
--- a/pistachiohaven/components/gateway/_reply.py
+++ b/pistachiohaven/components/gateway/_reply.py
@@ -1,5 +1,7 @@
 """Send a caller its answer, once."""
 
+import trio
+
 from pistachiohaven import platform
 from pistachiohaven.components.web import Send
 from pistachiohaven.helpers import Clock
@@ -97,9 +99,14 @@
         )
 
     async def _finish(self, body: bytes) -> None:
-        """Send the last part; the server may then report the caller as gone."""
+        """Send the last part.
+
+        The server reports the caller as gone while it makes the connection ready for
+        the next request, and a cancellation then would leave it unread for ever.
+        """
         self.done = True
-        await self._send({"type": "http.response.body", "body": body})
+        with trio.CancelScope(shield=True):
+            await self._send({"type": "http.response.body", "body": body})
 
     def _note_first_byte(self) -> None:
         if self.first_byte_ms is None:
--- a/pistachiohaven/platform/__init__.py
+++ b/pistachiohaven/platform/__init__.py
@@ -3,11 +3,11 @@
 from ._calls import (
     CallHead,
     CallHeadError,
-    answer_attempt,
     answer_headers,
     decode_call,
     encode_dispatch,
     encode_refusal,
+    find_attempt,
     is_stamped,
     never_ran,
 )
@@ -37,7 +37,6 @@
     "StoreClient",
     "StoreError",
     "TargetError",
-    "answer_attempt",
     "answer_headers",
     "decode_call",
     "decode_changes",
@@ -46,6 +45,7 @@
     "decode_target",
     "encode_dispatch",
     "encode_refusal",
+    "find_attempt",
     "is_stamped",
     "never_ran",
 ]
--- a/pistachiohaven/platform/_calls.py
+++ b/pistachiohaven/platform/_calls.py
@@ -166,10 +166,10 @@
     return any(name == wire.NOT_EXECUTED for name, _ in headers)
 
 
-def answer_attempt(headers: Headers) -> str | None:
-    """Return the attempt that an answer belongs to, if it names one."""
+def find_attempt(headers: Headers) -> str | None:
+    """Return the attempt that a request or answer names, if any."""
     for name, value in headers:
-        if name == wire.ATTEMPT_ID:
+        if name.lower() == wire.ATTEMPT_ID:
             return value.decode("latin-1")
     return None
 
