Shield every message to the server; tell peers what waits and how fast targets are

Change: answers are sent shielded; expected waits come from what targets have shown; a request waits at most half of its caller's patience; digests carry waiting requests by rank and learnt paces, by 32-bit hashes.

--- a/pistachiohaven/components/exchange/_messages.py
+++ b/pistachiohaven/components/exchange/_messages.py
@@ -3,6 +3,8 @@
 import msgspec
 from result import Err, Ok, Result
 
+from pistachiohaven.helpers import stable_hash
+
 
 class Member(msgspec.Struct, array_like=True, frozen=True, kw_only=True):
     """Name one entry and where it listens, `ip:port`."""
@@ -12,20 +14,32 @@
 
 
 class RunningAt(msgspec.Struct, array_like=True, frozen=True, kw_only=True):
-    """Tell what the sender has running on one target.
+    """Tell what the sender has running on one target and how fast it found it.
 
-    `prefill_tokens` belong to requests that have shown no event yet.
+    `target` is a hash of the name. `prefill_tokens` belong to requests that have shown
+    no event yet. A pace of 0 is unknown.
     """
 
-    target: str
+    target: int
     running: int
     prefill_tokens: int
+    token_us: int
+    prefill_tokens_per_s: int
+
+
+class WaitingAt(msgspec.Struct, array_like=True, frozen=True, kw_only=True):
+    """Tell how many requests of one rank wait at the sender; `pool` is a hash."""
+
+    pool: int
+    rank: int
+    count: int
 
 
 class Digest(msgspec.Struct, array_like=True, frozen=True, kw_only=True):
     """Tell one entry's state; a newer one replaces all that came before.
 
-    `used_tokens` counts from the sender's start. `revision` is that of the newest
+    `used_tokens` counts from the sender's start, by hash of the organisation's name.
+    `revision` is that of the newest
     published change it has taken in.
     """
 
@@ -37,7 +51,13 @@
     revision: int
     members: tuple[Member, ...]
     running: tuple[RunningAt, ...]
-    used_tokens: dict[str, int]
+    waiting: tuple[WaitingAt, ...]
+    used_tokens: dict[int, int]
+
+
+def short_hash(name: str) -> int:
+    """Return the 32-bit hash that stands for `name` in digests."""
+    return stable_hash(name) & 0xFFFFFFFF
 
 
 def encode_digest(digest: Digest) -> bytes:
--- a/pistachiohaven/components/exchange/const.py
+++ b/pistachiohaven/components/exchange/const.py
@@ -14,6 +14,9 @@
 MEMBERS_TOLD: Final = 6
 """Members named in one digest."""
 
+MEMBERS_EVERY: Final = 10
+"""Digests of which one names members; names and addresses make up most of it."""
+
 LIVE_MS: Final = 2_000
 """Age of a peer's last digest up to which it counts as live."""
 
--- a/pistachiohaven/components/gateway/_call.py
+++ b/pistachiohaven/components/gateway/_call.py
@@ -5,7 +5,13 @@
 from result import Err, Ok, Result
 
 from pistachiohaven import platform
-from pistachiohaven.components.fleet import Organisation, Pool, Route, RouteTable
+from pistachiohaven.components.fleet import (
+    Organisation,
+    Pool,
+    RequestKind,
+    Route,
+    RouteTable,
+)
 from pistachiohaven.components.placement import Job
 from pistachiohaven.components.web import Scope
 from pistachiohaven.core import Reason
@@ -14,6 +20,13 @@
 UNAUTHORIZED = 401
 NOT_FOUND = 404
 
+PATIENCE_FLOOR_MS = 2_000
+PATIENCE_TARGETS = 4
+PATIENCE_GAPS = 8
+"""A caller leaves a stream after the longest of a floor in milliseconds, a multiple of
+the first-byte target and a multiple of the target between events without an event.
+The figures are those that the platform publishes of its callers."""
+
 ROUTE_RANKS = 8
 """Ranks of routes told apart within one rank of organisations."""
 
@@ -54,6 +67,17 @@
             return self.route.rank
         return organisation.rank * ROUTE_RANKS + min(self.route.rank, ROUTE_RANKS - 1)
 
+    def _patience_ms(self) -> int:
+        """Return how long the caller waits for the first byte of its answer."""
+        route = self.route
+        if route.kind is not RequestKind.STREAM:
+            return self.deadline_ms - self.arrived_ms
+        return max(
+            PATIENCE_FLOOR_MS,
+            PATIENCE_TARGETS * route.first_byte_target_ms,
+            PATIENCE_GAPS * route.event_gap_target_ms,
+        )
+
     def job(self) -> Job:
         """Return the request as the scheduler sees it."""
         head = self.head
@@ -72,6 +96,7 @@
             part=last[0],
             arrived_ms=self.arrived_ms,
             due_ms=self.arrived_ms + self.route.first_byte_target_ms,
+            patience_ms=min(self.deadline_ms, self.arrived_ms + self._patience_ms()),
             deadline_ms=self.deadline_ms,
         )
 
--- a/pistachiohaven/components/gateway/_peers.py
+++ b/pistachiohaven/components/gateway/_peers.py
@@ -7,15 +7,23 @@
     Digest,
     Member,
     RunningAt,
+    WaitingAt,
     decode_digest,
     encode_digest,
+    short_hash,
+)
+from pistachiohaven.components.exchange.const import (
+    INTERVAL_MS,
+    MAX_DIGEST_BYTES,
+    MEMBERS_EVERY,
 )
-from pistachiohaven.components.exchange.const import INTERVAL_MS, MAX_DIGEST_BYTES
 from pistachiohaven.components.placement import PeerLoad
 from pistachiohaven.const import MS_PER_S
 
 from ._state import GatewayState
 
+US_PER_MS = 1_000
+
 
 class PeerLink:
     """Tell other gateways what this one has running, and take in what they have."""
@@ -64,19 +72,30 @@
             sequence=self._sequence,
             leaving=state.leaving_since_ms is not None,
             revision=state.catalogue.revision,
-            members=state.exchange.members_to_tell(now_ms=now_ms),
+            members=self._members(now_ms=now_ms),
             running=tuple(
                 RunningAt(
-                    target=load.target.name,
+                    target=short_hash(load.target.name),
                     running=load.own_running,
                     prefill_tokens=load.own_prefill_tokens(),
+                    token_us=int((load.own_token_ms or 0) * US_PER_MS),
+                    prefill_tokens_per_s=int((load.own_prefill_rate or 0) * MS_PER_S),
                 )
                 for load in state.scheduler.loads()
-                if load.own_running
+                if load.own_running or load.own_token_ms
+            ),
+            waiting=tuple(
+                WaitingAt(pool=short_hash(pool), rank=rank, count=count)
+                for pool, rank, count in state.scheduler.waiting_by_rank()
             ),
             used_tokens=state.quota.used(),
         )
 
+    def _members(self, *, now_ms: int) -> tuple[Member, ...]:
+        if self._sequence % MEMBERS_EVERY:
+            return ()
+        return self._state.exchange.members_to_tell(now_ms=now_ms)
+
     async def _receive(self) -> None:
         while True:
             try:
@@ -108,13 +127,19 @@
         state.quota.take_peer(digest.incarnation, digest.used_tokens, now_ms=now_ms)
         told = {at.target: at for at in digest.running}
         for load in state.scheduler.loads():
-            at = told.get(load.target.name)
+            at = told.get(short_hash(load.target.name))
             if at is None:
                 load.drop_peer(digest.incarnation)
                 continue
             peer_load = PeerLoad(
-                running=at.running, prefill_tokens=at.prefill_tokens, at_ms=now_ms
+                running=at.running,
+                prefill_tokens=at.prefill_tokens,
+                token_ms=at.token_us / US_PER_MS or None,
+                prefill_rate=at.prefill_tokens_per_s / MS_PER_S or None,
+                at_ms=now_ms,
             )
             load.take_peer(digest.incarnation, peer_load)
+        waiting = [(at.pool, at.rank, at.count) for at in digest.waiting]
+        state.scheduler.take_peer_waiting(digest.incarnation, waiting, now_ms=now_ms)
         if state.scheduler.waiting():
             state.placer.pump()
--- a/pistachiohaven/components/gateway/_reply.py
+++ b/pistachiohaven/components/gateway/_reply.py
@@ -3,7 +3,7 @@
 import trio
 
 from pistachiohaven import platform
-from pistachiohaven.components.web import Send
+from pistachiohaven.components.web import Message, Send
 from pistachiohaven.helpers import Clock
 
 from ._dispatch import Whole
@@ -94,19 +94,23 @@
             headers = [*headers, (b"connection", b"close")]
         self.status = status
         self.started_ms = self._clock.now_ms()
-        await self._send(
+        await self._emit(
             {"type": "http.response.start", "status": status, "headers": headers}
         )
 
     async def _finish(self, body: bytes) -> None:
-        """Send the last part.
+        """Send the last part; after it the server reports the caller as gone."""
+        self.done = True
+        await self._emit({"type": "http.response.body", "body": body})
 
-        The server reports the caller as gone while it makes the connection ready for
-        the next request, and a cancellation then would leave it unread for ever.
+    async def _emit(self, message: Message) -> None:
+        """Pass one message to the server, whole.
+
+        A cancellation in the middle would leave the server's view of the connection
+        behind what was sent: it would stay unread, or end the process.
         """
-        self.done = True
         with trio.CancelScope(shield=True):
-            await self._send({"type": "http.response.body", "body": body})
+            await self._send(message)
 
     def _note_first_byte(self) -> None:
         if self.first_byte_ms is None:
--- a/pistachiohaven/components/placement/_job.py
+++ b/pistachiohaven/components/placement/_job.py
@@ -9,7 +9,8 @@
 class Job:
     """Describe one request; times are monotonic milliseconds, sizes tokens.
 
-    `part` names the session's own part of the prompt, empty without one.
+    `part` names the session's own part of the prompt, empty without one. The first
+    byte is due at `due_ms`; a caller without one leaves at `patience_ms`.
     """
 
     request_id: str
@@ -22,6 +23,7 @@
     part: str
     arrived_ms: int
     due_ms: int
+    patience_ms: int
     deadline_ms: int
     excluded: set[str] = field(default_factory=set)
 
--- a/pistachiohaven/components/placement/_load.py
+++ b/pistachiohaven/components/placement/_load.py
@@ -29,10 +29,12 @@
 
 @dataclass(frozen=True, slots=True, kw_only=True)
 class PeerLoad:
-    """Hold what another entry has running on a target."""
+    """Hold what another entry has running on a target and the pace it found."""
 
     running: int
     prefill_tokens: int
+    token_ms: float | None
+    prefill_rate: float | None
     at_ms: int
 
 
@@ -93,10 +95,23 @@
         """Forget what `peer` had running here."""
         self._peers.pop(peer, None)
 
+    @property
+    def own_token_ms(self) -> float | None:
+        """Return the milliseconds of one output token as seen here, if known."""
+        return self._token_ms.value
+
+    @property
+    def own_prefill_rate(self) -> float | None:
+        """Return the prompt tokens read in a millisecond as seen here, if known."""
+        return self._prefill_rate.value
+
     @property
     def token_ms(self) -> float:
-        """Return the milliseconds of one output token."""
-        return self._token_ms.get(DEFAULT_TOKEN_MS)
+        """Return the milliseconds of one output token, from peers if need be."""
+        if self._token_ms.value is not None:
+            return self._token_ms.value
+        told = [peer.token_ms for peer in self._peers.values() if peer.token_ms]
+        return sum(told) / len(told) if told else DEFAULT_TOKEN_MS
 
     @property
     def service_ms(self) -> float:
@@ -222,6 +237,9 @@
         """Return the prompt tokens read in a millisecond."""
         if self._prefill_rate.value is not None:
             return self._prefill_rate.value
+        told = [peer.prefill_rate for peer in self._peers.values() if peer.prefill_rate]
+        if told:
+            return sum(told) / len(told)
         speed = DEFAULT_TOKEN_MS / self.token_ms
         return DEFAULT_PREFILL_TOKENS_PER_MS * speed
 
--- a/pistachiohaven/components/placement/_scheduler.py
+++ b/pistachiohaven/components/placement/_scheduler.py
@@ -1,7 +1,9 @@
 """Order waiting requests, refuse hopeless ones and place the rest."""
 
-from dataclasses import replace
+from collections import Counter
+from dataclasses import dataclass, replace
 
+from pistachiohaven.components.exchange import short_hash
 from pistachiohaven.components.fleet import Pool, Target
 from pistachiohaven.core import Reason
 from pistachiohaven.helpers import Ewma
@@ -9,14 +11,22 @@
 from ._job import Decision, Job, Place, Refuse
 from ._load import PeerLoad, TargetLoad
 from .const import (
-    DEFAULT_SERVICE_MS,
     HOLD_SHARE,
-    LEARN_SHARE,
     MAX_RETRY_MS,
+    MAX_URGENT_SHARE,
     MIN_RETRY_MS,
+    MIN_STARTS_PER_MS,
+    PEER_WAITING_MS,
+    RANK_SHARE,
 )
 
 
+@dataclass(frozen=True, slots=True, kw_only=True)
+class _PeerWaiting:
+    waiting: list[tuple[int, int, int]]
+    at_ms: int
+
+
 class Scheduler:
     """Hold the waiting requests of one entry and the load of all targets.
 
@@ -29,7 +39,8 @@
         self._loads: dict[str, TargetLoad] = {}
         self._pools: dict[str, Pool] = {}
         self._waiting: dict[str, list[Job]] = {}
-        self._service_ms: dict[str, Ewma] = {}
+        self._urgent_share: dict[tuple[str, int], Ewma] = {}
+        self._peer_waiting: dict[str, _PeerWaiting] = {}
 
     # Targets
 
@@ -73,16 +84,18 @@
         if known is not None:
             known.take_peer(peer, load)
 
+    def take_peer_waiting(
+        self, peer: str, waiting: list[tuple[int, int, int]], *, now_ms: int
+    ) -> None:
+        """Take in how many requests wait at `peer`: pool's hash, rank, count."""
+        self._peer_waiting[peer] = _PeerWaiting(waiting=waiting, at_ms=now_ms)
+
     def drop_peer(self, peer: str) -> None:
         """Forget the load of an entry that has ended."""
+        self._peer_waiting.pop(peer, None)
         for load in self._loads.values():
             load.drop_peer(peer)
 
-    def served(self, pool: str, service_ms: float) -> None:
-        """Note how long a whole request took in `pool`."""
-        ewma = self._service_ms.setdefault(pool, Ewma(share=LEARN_SHARE))
-        ewma.add(service_ms)
-
     # Requests
 
     def waiting(self, pool: str | None = None) -> int:
@@ -91,13 +104,20 @@
             return len(self._waiting.get(pool, ()))
         return sum(len(jobs) for jobs in self._waiting.values())
 
+    def waiting_by_rank(self) -> list[tuple[str, int, int]]:
+        """Return pool, rank and number of the waiting requests."""
+        counts = Counter(
+            (job.pool, job.rank) for jobs in self._waiting.values() for job in jobs
+        )
+        return [(pool, rank, count) for (pool, rank), count in counts.items()]
+
     def submit(self, job: Job, *, now_ms: int) -> Refuse | None:
         """Let `job` wait, or refuse it at once if it could not start in time."""
         usable = self._usable(job.pool, now_ms=now_ms)
         if not usable:
             return self._refusal(job, Reason.NO_TARGET, now_ms=now_ms)
         wait_ms = self.expected_wait_ms(job, now_ms=now_ms)
-        if now_ms + wait_ms > self._give_up_ms(job):
+        if wait_ms > 0 and now_ms + wait_ms > self._give_up_ms(job, now_ms=now_ms):
             return self._refusal(job, Reason.OVERLOAD, now_ms=now_ms)
         self._waiting.setdefault(job.pool, []).append(job)
         return None
@@ -121,11 +141,13 @@
         loads = self._usable(job.pool, now_ms=now_ms)
         if any(load.has_room(now_ms=now_ms) for load in loads):
             return 0.0
-        slots = sum(load.target.slots for load in loads)
+        per_ms = sum(load.target.slots / load.service_ms for load in loads)
         ahead = sum(
             1 for other in self._waiting.get(job.pool, ()) if other.rank <= job.rank
         )
-        return (ahead + 1) * self._pool_service_ms(job.pool) / max(slots, 1)
+        ahead += self._peers_ahead(job.pool, job.rank + 1, now_ms=now_ms)
+        overtaken = min(self._share_above(job.pool, job.rank), MAX_URGENT_SHARE)
+        return (ahead + 1) / max(per_ms, MIN_STARTS_PER_MS) / (1.0 - overtaken)
 
     # Inner
 
@@ -133,12 +155,16 @@
         decisions: list[Decision] = []
         jobs.sort(key=lambda job: self._order(job, now_ms=now_ms))
         blocked = False
+        free = self._free_slots(jobs[0].pool, now_ms=now_ms)
         for job in list(jobs):
+            ahead = self._peers_ahead(job.pool, job.rank, now_ms=now_ms)
+            blocked = blocked or free <= ahead
             load = None if blocked else self._choose(job, now_ms=now_ms)
             if load is not None:
                 decisions.append(self._place(job, load, now_ms=now_ms))
                 jobs.remove(job)
-            elif now_ms >= self._give_up_ms(job):
+                free -= 1
+            elif now_ms >= self._give_up_ms(job, now_ms=now_ms):
                 refusal = self._refusal(job, Reason.QUEUE_DEADLINE, now_ms=now_ms)
                 decisions.append(refusal)
                 jobs.remove(job)
@@ -169,11 +195,50 @@
             running=load.running(now_ms=now_ms),
         )
         load.sent(job, now_ms=now_ms)
+        self._note_rank(job.pool, job.rank)
         return place
 
-    def _give_up_ms(self, job: Job) -> float:
-        """Return until when `job` may wait."""
-        return job.arrived_ms + HOLD_SHARE * (job.deadline_ms - job.arrived_ms)
+    def _give_up_ms(self, job: Job, *, now_ms: int) -> float:
+        """Return until when `job` may wait.
+
+        Its caller leaves at `patience_ms`, and its first byte takes time once placed.
+        """
+        patience_ms = job.patience_ms - job.arrived_ms
+        loads = self._usable(job.pool, now_ms=now_ms)
+        first_ms = min(
+            (load.first_event_ms(job, now_ms=now_ms) for load in loads), default=0.0
+        )
+        return job.arrived_ms + min(HOLD_SHARE * patience_ms, patience_ms - first_ms)
+
+    def _free_slots(self, pool: str, *, now_ms: int) -> int:
+        """Return how many requests the targets of `pool` could start at once."""
+        return sum(
+            load.target.slots - load.running(now_ms=now_ms)
+            for load in self._in_pool(pool)
+            if load.has_room(now_ms=now_ms)
+        )
+
+    def _peers_ahead(self, pool: str, rank: int, *, now_ms: int) -> int:
+        """Return how many requests more urgent than `rank` wait at other entries."""
+        hashed = short_hash(pool)
+        return sum(
+            count
+            for peer in self._peer_waiting.values()
+            if now_ms - peer.at_ms < PEER_WAITING_MS
+            for at, other, count in peer.waiting
+            if at == hashed and other < rank
+        )
+
+    def _note_rank(self, pool: str, rank: int) -> None:
+        """Keep, for each rank seen, the share of placements above it."""
+        self._urgent_share.setdefault((pool, rank), Ewma(share=RANK_SHARE))
+        for (name, other), share in self._urgent_share.items():
+            if name == pool:
+                share.add(1.0 if rank < other else 0.0)
+
+    def _share_above(self, pool: str, rank: int) -> float:
+        share = self._urgent_share.get((pool, rank))
+        return 0.0 if share is None else share.get(0.0)
 
     def _refusal(self, job: Job, reason: Reason, *, now_ms: int) -> Refuse:
         wait_ms = self.expected_wait_ms(job, now_ms=now_ms)
@@ -185,10 +250,6 @@
             expected_wait_ms=wait_ms,
         )
 
-    def _pool_service_ms(self, pool: str) -> float:
-        ewma = self._service_ms.get(pool)
-        return DEFAULT_SERVICE_MS if ewma is None else ewma.get(DEFAULT_SERVICE_MS)
-
     def _in_pool(self, pool: str) -> list[TargetLoad]:
         return [load for load in self._loads.values() if load.target.pool == pool]
 
--- a/pistachiohaven/components/placement/const.py
+++ b/pistachiohaven/components/placement/const.py
@@ -53,9 +53,24 @@
 CACHE_SHARE: Final = 0.5
 """Part of an engine's memory that is expected to hold parts of past prompts."""
 
-HOLD_SHARE: Final = 0.33
-"""Part of a request's time that it may wait before it is refused."""
+HOLD_SHARE: Final = 0.5
+"""Part of a caller's patience that its request may wait before it is refused.
+
+The rest is left for a second try and for the first byte.
+"""
+
+PEER_WAITING_MS: Final = 500
+"""Age at which a peer's word on what waits there no longer counts."""
+
+RANK_SHARE: Final = 0.02
+"""Weight of the newest placement in the share of more urgent ones; 50 placements."""
+
+MAX_URGENT_SHARE: Final = 0.9
+"""Largest share of more urgent placements that lengthens an expected wait."""
 
 MIN_RETRY_MS: Final = 100
 MAX_RETRY_MS: Final = 4_000
 """Bounds of the time after which a refused caller is asked to come back."""
+
+MIN_STARTS_PER_MS: Final = 0.0001
+"""Smallest rate of starts assumed of a pool, one in 10 s, to bound expected waits."""
--- a/pistachiohaven/components/quota/_core.py
+++ b/pistachiohaven/components/quota/_core.py
@@ -2,6 +2,7 @@
 
 from dataclasses import dataclass, field
 
+from pistachiohaven.components.exchange import short_hash
 from pistachiohaven.components.fleet import Organisation
 from pistachiohaven.const import MS_PER_S
 
@@ -43,7 +44,7 @@
 class _Peer:
     heard_ms: int
     charged_ms: int
-    used: dict[str, int] = field(default_factory=dict)
+    used: dict[int, int] = field(default_factory=dict)
 
 
 class QuotaLedger:
@@ -106,9 +107,13 @@
         bucket.level = min(bucket.level + tokens, bucket.burst)
         bucket.used -= tokens
 
-    def used(self) -> dict[str, int]:
-        """Return the tokens drawn here since the start, by organisation."""
-        return {name: bucket.used for name, bucket in self._buckets.items()}
+    def used(self) -> dict[int, int]:
+        """Return the tokens drawn here since the start, by hash of the name."""
+        return {
+            short_hash(name): bucket.used
+            for name, bucket in self._buckets.items()
+            if bucket.used
+        }
 
     def left(self, organisation: str) -> int | None:
         """Return the tokens left, below zero if overdrawn; None without a limit."""
@@ -120,7 +125,7 @@
         ages = [now_ms - peer.heard_ms for peer in self._peers.values()]
         return max(ages, default=0)
 
-    def take_peer(self, peer: str, used: dict[str, int], *, now_ms: int) -> None:
+    def take_peer(self, peer: str, used: dict[int, int], *, now_ms: int) -> None:
         """Draw what `peer` (one incarnation of an entry) used since its last word."""
         known = self._peers.get(peer)
         if known is None:
@@ -128,10 +133,9 @@
             self._peers[peer] = known
             known.used = dict(used)
             return
-        for name, total in used.items():
-            bucket = self._buckets.get(name)
-            if bucket is not None:
-                bucket.level -= total - known.used.get(name, 0)
+        for name, bucket in self._buckets.items():
+            hashed = short_hash(name)
+            bucket.level -= used.get(hashed, 0) - known.used.get(hashed, 0)
         known.used = dict(used)
         known.heard_ms = now_ms
         known.charged_ms = now_ms
--- a/pistachiohaven/components/quota/const.py
+++ b/pistachiohaven/components/quota/const.py
@@ -14,7 +14,7 @@
 Longer than a machine is cut off on any day played.
 """
 
-OVERDRAFT_SHARE: Final = 0.6
+OVERDRAFT_SHARE: Final = 0.7
 """Part of what operators tolerate over a rate that an organisation may overdraw.
 
 The rest covers what other entries use between two of their digests.
