--- a/pistachiohaven/components/gateway/_daemon.py
+++ b/pistachiohaven/components/gateway/_daemon.py
@@ -1,10 +1,12 @@
 """Run one gateway."""
 
 import signal
+import socket
+from dataclasses import dataclass
 
 import trio
 
-from pistachiohaven.components.web import Server, ServerOptions, listen
+from pistachiohaven.components.web import Listener, Server, ServerOptions, listen
 from pistachiohaven.config import GatewaySettings, load
 from pistachiohaven.const import MS_PER_S
 from pistachiohaven.exceptions import SettingsError
@@ -23,24 +25,52 @@
 )
 
 
+@dataclass(frozen=True, slots=True, kw_only=True)
+class _Bound:
+    """Hold the sockets of a gateway and its settings with the ports they got."""
+
+    settings: GatewaySettings
+    listeners: list[Listener]
+    exchange: socket.socket
+
+
+def _bind(settings: GatewaySettings) -> _Bound:
+    """Open every socket that `settings` name."""
+    callers = listen(settings.listen)
+    readiness = listen(settings.listen_readiness)
+    control = listen(settings.control_address)
+    exchange = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
+    exchange.bind((settings.host, settings.internal_ports[0]))
+    ports = (exchange.getsockname()[1], int(control.address.rpartition(":")[2]))
+    bound = settings.model_copy(
+        update={
+            "listen": callers.address,
+            "listen_readiness": readiness.address,
+            "internal_ports": ports,
+        }
+    )
+    return _Bound(
+        settings=bound, listeners=[callers, readiness, control], exchange=exchange
+    )
+
+
 async def run_gateway(
     settings: GatewaySettings,
     *,
     path: str = "",
     log_lines: BoundedLog | None = None,
     clock: Clock | None = None,
+    task_status: trio.TaskStatus[GatewaySettings] = trio.TASK_STATUS_IGNORED,
 ) -> None:
     """Serve callers until told to stop and drained; `path` is the settings file."""
     clock = clock or Clock()
-    state = GatewayState(settings=settings, clock=clock)
+    bound = _bind(settings)
+    state = GatewayState(settings=bound.settings, clock=clock)
     pool = ConnectionPool(clock=clock)
     app = GatewayApp(state=state, pool=pool, log_lines=log_lines)
     grace_s = settings.stop_grace_s - (DRAIN_ACCEPT_MS + DRAIN_MARGIN_MS) / MS_PER_S
     options = ServerOptions(grace_s=max(grace_s, 0.0))
-    addresses = (settings.listen, settings.listen_readiness, settings.control_address)
-    server = Server(
-        listeners=[listen(address) for address in addresses], options=options
-    )
+    server = Server(listeners=bound.listeners, options=options)
     state.log.info(
         "started", name=settings.name, incarnation=state.incarnation, path=path
     )
@@ -49,13 +79,14 @@
         follower = Follower(state=state)
         nursery.start_soon(follower.run)
         nursery.start_soon(follower.follow_peers)
-        nursery.start_soon(PeerLink(state=state).run)
+        nursery.start_soon(PeerLink(state=state, sock=bound.exchange).run)
         nursery.start_soon(state.placer.run)
         nursery.start_soon(_follow_limits, state, server, options, pool)
         nursery.start_soon(_stop_on_signal, state, app, stop)
         nursery.start_soon(_reload_on_signal, state, path)
         if log_lines is not None:
             nursery.start_soon(_flush_logs, log_lines)
+        task_status.started(bound.settings)
         await server.serve(app, stop)
         nursery.cancel_scope.cancel()
     state.log.info("stopped", in_flight=app.in_flight)
--- a/pistachiohaven/components/gateway/_peers.py
+++ b/pistachiohaven/components/gateway/_peers.py
@@ -1,5 +1,7 @@
 """Send and receive the digests between gateways as datagrams."""
 
+import socket
+
 import trio
 from result import Err
 
@@ -28,15 +30,13 @@
 class PeerLink:
     """Tell other gateways what this one has running, and take in what they have."""
 
-    def __init__(self, *, state: GatewayState) -> None:
+    def __init__(self, *, state: GatewayState, sock: socket.socket) -> None:
         self._state = state
         self._sequence = 0
-        self._socket = trio.socket.socket(trio.socket.AF_INET, trio.socket.SOCK_DGRAM)
+        self._socket = trio.socket.from_stdlib_socket(sock)
 
     async def run(self) -> None:
         """Exchange digests for ever."""
-        host, _, port = self._state.settings.exchange_address.rpartition(":")
-        await self._socket.bind((host, int(port)))
         async with trio.open_nursery() as nursery:
             nursery.start_soon(self._receive)
             while True:
--- a/pistachiohaven/components/gateway/_state.py
+++ b/pistachiohaven/components/gateway/_state.py
@@ -59,7 +59,14 @@
 
     def reload(self, settings: GatewaySettings) -> None:
         """Use new settings; listeners stay where they are."""
-        self.settings = settings
+        kept = self.settings
+        self.settings = settings.model_copy(
+            update={
+                "listen": kept.listen,
+                "listen_readiness": kept.listen_readiness,
+                "internal_ports": kept.internal_ports,
+            }
+        )
         self._budgets.clear()
 
     # Readiness
--- a/pistachiohaven/components/quota/_core.py
+++ b/pistachiohaven/components/quota/_core.py
@@ -169,5 +169,6 @@
     def _charge_share(self, span_ms: int) -> None:
         entries = len(self._peers) + 1
         for bucket in self._buckets.values():
-            bucket.level -= bucket.rate_per_s * span_ms / MS_PER_S / entries
-            bucket.level = max(bucket.level, -bucket.burst)
+            share = bucket.rate_per_s * span_ms / MS_PER_S / entries
+            floor = min(bucket.level, -bucket.overdraft)
+            bucket.level = max(bucket.level - share, floor)
--- a/pistachiohaven/config.py
+++ b/pistachiohaven/config.py
@@ -13,7 +13,8 @@
 Address = Annotated[str, StringConstraints(pattern=r"^\d{1,3}(\.\d{1,3}){3}:\d{1,5}$")]
 """An IPv4 address and a port, `ip:port`."""
 
-Port = Annotated[int, Field(ge=1, le=65_535)]
+Port = Annotated[int, Field(ge=0, le=65_535)]
+"""A port; 0 lets the kernel choose."""
 
 Name = Annotated[str, StringConstraints(pattern=r"^[a-z0-9][a-z0-9._-]{0,63}$")]
 
--- /dev/null
+++ b/tests/components/exchange/__init__.py
@@ -0,0 +1,1 @@
+"""Test this part."""
--- /dev/null
+++ b/tests/platform/test_calls.py
@@ -0,0 +1,141 @@
+"""Test the translation of heads of requests and answers."""
+
+import pytest
+from result import Err, Ok
+
+from pistachiohaven.platform import (
+    CallHead,
+    CallHeadError,
+    decode_call,
+    encode_dispatch,
+    encode_refusal,
+    find_attempt,
+    is_stamped,
+    never_ran,
+)
+
+Headers = list[tuple[bytes, bytes]]
+
+HEAD: Headers = [
+    (b"host", b"a.example"),
+    (b"pistachiohaven-attempt-id", b"9c41"),
+    (b"pistachiohaven-token-counts", b"1460,80"),
+    (b"pistachiohaven-prompt-prefix", b"5c1e:800,e440:660"),
+    (b"pistachiohaven-deadline-ms", b"15000"),
+    (b"pistachiohaven-credential", b"secret"),
+    (b"content-length", b"3"),
+]
+
+
+def decoded(headers: Headers) -> CallHead:
+    result = decode_call(headers)
+    assert isinstance(result, Ok)
+    return result.ok_value
+
+
+def dispatch(headers: Headers, resume_after: int | None = None) -> dict[bytes, bytes]:
+    encoded = encode_dispatch(
+        headers,
+        target_name="i-1",
+        organisation="org",
+        left_ms=700,
+        body_bytes=3,
+        resume_after=resume_after,
+    )
+    assert len(encoded) == len(dict(encoded))
+    return dict(encoded)
+
+
+def test_a_head_is_read_once_into_typed_fields() -> None:
+    head = decoded(HEAD)
+    assert (head.attempt_id, head.key, head.deadline_ms) == ("9c41", "secret", 15_000)
+    assert (head.prompt_tokens, head.max_output_tokens) == (1_460, 80)
+    assert head.parts == (("5c1e", 800), ("e440", 660))
+
+
+@pytest.mark.parametrize(
+    ("extra", "error"),
+    [
+        ((b"transfer-encoding", b"chunked"), CallHeadError.TWO_FRAMINGS),
+        ((b"host", b"b.example"), CallHeadError.REPEATED_HEADER),
+        ((b"pistachiohaven-attempt-id", b"2"), CallHeadError.REPEATED_HEADER),
+        ((b"pistachiohaven-credential", b"2"), CallHeadError.REPEATED_HEADER),
+    ],
+)
+def test_ambiguous_heads_are_refused(
+    extra: tuple[bytes, bytes], error: CallHeadError
+) -> None:
+    assert decode_call([*HEAD, extra]) == Err(error)
+
+
+@pytest.mark.parametrize(
+    ("name", "value"),
+    [
+        (b"pistachiohaven-token-counts", b"many"),
+        (b"pistachiohaven-token-counts", b"1"),
+        (b"pistachiohaven-deadline-ms", b"soon"),
+        (b"pistachiohaven-prompt-prefix", b"5c1e:x"),
+    ],
+)
+def test_unreadable_numbers_are_refused(name: bytes, value: bytes) -> None:
+    headers = [(key, value if key == name else old) for key, old in HEAD]
+    assert decode_call(headers) == Err(CallHeadError.BAD_NUMBER)
+
+
+def test_headers_that_only_the_system_sets_are_replaced() -> None:
+    forged: Headers = [
+        (b"pistachiohaven-tenant-name", b"other"),
+        (b"pistachiohaven-expected-instance", b"i-9"),
+        (b"pistachiohaven-cache-hold", b"h"),
+        (b"pistachiohaven-pin-ms", b"4000"),
+        (b"pistachiohaven-kv-backup", b"10.0.0.1:1"),
+        (b"kv-from", b"10.0.0.1:1/x"),
+        (b"kv-fetch", b"10.0.0.1:1"),
+    ]
+    sent = dispatch([*HEAD, *forged])
+    assert sent[b"pistachiohaven-tenant-name"] == b"org"
+    assert sent[b"pistachiohaven-expected-instance"] == b"i-1"
+    assert sent[b"pistachiohaven-deadline-ms"] == b"700"
+    for name in (b"pistachiohaven-cache-hold", b"pistachiohaven-pin-ms", b"kv-from"):
+        assert name not in sent
+    assert b"pistachiohaven-kv-backup" not in sent
+    assert b"kv-fetch" not in sent
+
+
+def test_the_key_is_never_passed_on() -> None:
+    assert b"secret" not in dispatch(HEAD).values()
+
+
+def test_headers_of_one_connection_are_dropped_but_not_the_request_s_own() -> None:
+    extra: Headers = [
+        (b"connection", b"keep-alive, x-hop, pistachiohaven-attempt-id"),
+        (b"x-hop", b"1"),
+        (b"x-own", b"2"),
+        (b"expect", b"100-continue"),
+    ]
+    sent = dispatch([*HEAD, *extra])
+    assert sent[b"x-own"] == b"2"
+    assert sent[b"pistachiohaven-attempt-id"] == b"9c41"
+    assert not {b"x-hop", b"connection", b"expect"} & set(sent)
+
+
+def test_a_resumed_request_names_the_last_event_the_caller_has() -> None:
+    sent = dispatch([*HEAD, (b"last-event-id", b"3")], resume_after=12)
+    assert sent[b"last-event-id"] == b"12"
+
+
+def test_only_a_target_s_own_word_says_that_it_did_not_run() -> None:
+    assert never_ran(503, [(b"pistachiohaven-not-executed", b"1")])
+    assert never_ran(421, [])
+    assert not never_ran(503, [])
+    assert not never_ran(500, [(b"retry-after", b"1")])
+
+
+def test_refusals_tell_when_to_come_back() -> None:
+    headers = dict(encode_refusal(attempt_id="9c41", retry_after_ms=250))
+    assert headers[b"retry-after"] == b"0.250"
+    assert find_attempt(list(headers.items())) == "9c41"
+
+
+def test_an_empty_signature_is_none() -> None:
+    assert not is_stamped([(b"pistachiohaven-server-stamp", b"")])
