--- a/pistachiohaven/components/gateway/_app.py
+++ b/pistachiohaven/components/gateway/_app.py
@@ -32,6 +32,8 @@
     MIN_RETRY_MS,
     MIN_STORE_ANSWER_MS,
     STALE_AFTER_MS,
+    TURNED_AWAY_BYTES,
+    TURNED_AWAY_MS,
 )
 
 REQUEST_TIMEOUT = 408
@@ -76,34 +78,51 @@
         """Serve one caller."""
         state = self._state
         now_ms = state.clock.now_ms()
-        leaving = state.leaving_since_ms
-        reply = Reply(send=send, clock=state.clock, closing=leaving is not None)
-        mistake = self._closed(leaving, now_ms=now_ms)
-        table = state.table
-        if mistake is not None or table is None:
-            attempt_id = platform.find_attempt(scope["headers"])
-            mistake = mistake or _NO_CONFIG
-            await self._refuse(reply, mistake, attempt_id, MIN_STORE_ANSWER_MS)
-            return
-        read = read_call(scope, table, fraction=state.rng.random(), now_ms=now_ms)
-        if isinstance(read, Err):
-            attempt_id = platform.find_attempt(scope["headers"])
-            mistake = self._checked(read.err_value)
-            await self._refuse(reply, mistake, attempt_id, MIN_RETRY_MS)
+        closing = state.leaving_since_ms is not None
+        reply = Reply(send=send, clock=state.clock, closing=closing)
+        call = self._admit(scope, now_ms=now_ms)
+        if isinstance(call, Mistake):
+            await self._turn_away(scope, receive, reply, call)
             return
         self.in_flight += 1
         state.metrics.in_flight.set(self.in_flight)
         try:
-            await self._answer(read.ok_value, reply, receive)
+            await self._answer(call, reply, receive)
         finally:
             self.in_flight -= 1
             state.metrics.in_flight.set(self.in_flight)
 
-    def _closed(self, leaving_ms: int | None, *, now_ms: int) -> Mistake | None:
-        """Return why no request is taken now, None if they are."""
-        if leaving_ms is None or now_ms - leaving_ms < DRAIN_ACCEPT_MS:
-            return None
-        return Mistake(status=UNAVAILABLE, reason=Reason.DRAINING)
+    def _admit(self, scope: Scope, *, now_ms: int) -> Call | Mistake:
+        """Return the request, or why it is turned away."""
+        state = self._state
+        leaving_ms = state.leaving_since_ms
+        if leaving_ms is not None and now_ms - leaving_ms >= DRAIN_ACCEPT_MS:
+            return Mistake(status=UNAVAILABLE, reason=Reason.DRAINING)
+        if state.table is None:
+            return Mistake(status=UNAVAILABLE, reason=Reason.NO_SETTINGS)
+        fraction = state.rng.random()
+        read = read_call(scope, state.table, fraction=fraction, now_ms=now_ms)
+        if isinstance(read, Err):
+            return self._checked(read.err_value)
+        return read.ok_value
+
+    async def _turn_away(
+        self, scope: Scope, receive: Receive, reply: Reply, mistake: Mistake
+    ) -> None:
+        """Read a request to its end and refuse it.
+
+        Closing a connection with unread bytes would take the refusal back.
+        """
+        body = await read_body(
+            receive, limit_bytes=TURNED_AWAY_BYTES, timeout_ms=TURNED_AWAY_MS
+        )
+        if isinstance(body, Err):
+            if body.err_value is BodyError.LEFT:
+                return
+            reply.close_after()
+        attempt_id = platform.find_attempt(scope["headers"])
+        wait_ms = MIN_STORE_ANSWER_MS if self._state.table is None else MIN_RETRY_MS
+        await self._refuse(reply, mistake, attempt_id, wait_ms)
 
     def _checked(self, mistake: Mistake) -> Mistake:
         """Return `mistake`, softened while the configuration may be out of date."""
@@ -260,9 +279,6 @@
         }
 
 
-_NO_CONFIG = Mistake(status=UNAVAILABLE, reason=Reason.NO_SETTINGS)
-
-
 def _port(address: str) -> int:
     return int(address.rpartition(":")[2])
 
--- a/pistachiohaven/components/gateway/_request.py
+++ b/pistachiohaven/components/gateway/_request.py
@@ -51,7 +51,7 @@
         self._ran_on = 0
         self._arrivals = 0
         self._charged = False
-        self._last: Failed | None = None
+        self._error: Whole | None = None
         self.reason: Reason | None = None
 
     @property
@@ -128,7 +128,8 @@
 
     def _goes_on(self, failed: Failed, target: str) -> bool:
         """Return True if the request may go to another target now."""
-        self._last = failed
+        if failed.answer is not None and failed.answer.status not in NOT_RUN_STATUSES:
+            self._error = failed.answer
         state = self._state
         state.log.info(
             "dispatch_failed",
@@ -162,11 +163,6 @@
         if self._reply.started:
             self.reason = Reason.STREAM_BROKEN
             raise BrokenAnswerError(failed.detail)
-        answer = failed.answer
-        if answer is not None and answer.status not in NOT_RUN_STATUSES:
-            self.reason = Reason.TARGET_ERROR
-            await self._reply.whole(answer)
-            return
         reason = self.reason or _REASONS[failed.failure]
         await self._give_up(reason)
 
@@ -180,9 +176,8 @@
                 retry_after_ms = self._retry_after_ms()
             await self._refuse(UNAVAILABLE, reason, retry_after_ms)
             return
-        last = self._last.answer if self._last else None
-        if last is not None and last.status not in NOT_RUN_STATUSES:
-            await self._reply.whole(last)
+        if self._error is not None:
+            await self._reply.whole(self._error)
             return
         status = TIMED_OUT if reason is Reason.DEADLINE else BAD_GATEWAY
         await self._reply.own(
--- a/pistachiohaven/components/gateway/const.py
+++ b/pistachiohaven/components/gateway/const.py
@@ -85,3 +85,12 @@
 
 A watch answers within its wait and time-out, 3.2 s, while the store is well.
 """
+
+TURNED_AWAY_BYTES: Final = 262_144
+"""Bytes of a body that are read before its request is refused at the door.
+
+More than the bodies of the load played, 72 KB.
+"""
+
+TURNED_AWAY_MS: Final = 1_000
+"""Time that such a body may take to arrive."""
--- a/pistachiohaven/components/placement/_scheduler.py
+++ b/pistachiohaven/components/placement/_scheduler.py
@@ -114,7 +114,7 @@
     def submit(self, job: Job, *, now_ms: int) -> Refuse | None:
         """Let `job` wait, or refuse it at once if it could not start in time."""
         usable = self._usable(job.pool, now_ms=now_ms)
-        if not usable:
+        if all(load.target.name in job.excluded for load in usable):
             return self._refusal(job, Reason.NO_TARGET, now_ms=now_ms)
         wait_ms = self.expected_wait_ms(job, now_ms=now_ms)
         if wait_ms > 0 and now_ms + wait_ms > self._give_up_ms(job, now_ms=now_ms):
--- /dev/null
+++ b/tests/components/placement/test_scheduler.py
@@ -0,0 +1,252 @@
+"""Test who waits, who is refused and where requests go, on a virtual clock."""
+
+from dataclasses import replace
+
+import pytest
+
+from pistachiohaven.components.exchange import short_hash
+from pistachiohaven.components.fleet import Pool, Target
+from pistachiohaven.components.placement import (
+    Job,
+    PeerLoad,
+    Place,
+    Refuse,
+    Scheduler,
+)
+from pistachiohaven.components.placement.const import (
+    FULL_MS,
+    HOLD_SHARE,
+    PEER_LOAD_MS,
+    SUSPECT_MS,
+)
+from pistachiohaven.core import Reason
+
+POOL = Pool(
+    name="p", engine=True, connection_limit=100, cache_tokens=500_000, event_tokens=6
+)
+
+
+def target(name: str, *, slots: int = 2, started_ms: int = 1) -> Target:
+    return Target(
+        name=name,
+        pool="p",
+        address="10.0.0.1:80",
+        data_centre="z",
+        slots=slots,
+        leaving=False,
+        started_ms=started_ms,
+    )
+
+
+def make_scheduler(*targets: Target) -> Scheduler:
+    scheduler = Scheduler()
+    scheduler.configure({"p": POOL})
+    for each in targets:
+        scheduler.put_target(each)
+    return scheduler
+
+
+def job(name: str, *, rank: int = 0, at_ms: int = 0, **changes: object) -> Job:
+    made = Job(
+        request_id=name,
+        pool="p",
+        organisation="org",
+        rank=rank,
+        prompt_tokens=600,
+        shared_tokens=60,
+        output_tokens=100,
+        part=name,
+        arrived_ms=at_ms,
+        due_ms=at_ms + 400,
+        patience_ms=at_ms + 3_000,
+        deadline_ms=at_ms + 12_000,
+    )
+    return replace(made, **changes)
+
+
+def placed(scheduler: Scheduler, *, now_ms: int) -> list[str]:
+    decisions = scheduler.pump(now_ms=now_ms)
+    return [each.job.request_id for each in decisions if isinstance(each, Place)]
+
+
+def fill(scheduler: Scheduler, count: int, *, now_ms: int = 0) -> None:
+    for number in range(count):
+        scheduler.submit(job(f"fill-{number}", at_ms=now_ms), now_ms=now_ms)
+    assert len(placed(scheduler, now_ms=now_ms)) == count
+
+
+def end(scheduler: Scheduler, name: str, *, now_ms: int) -> None:
+    for load in scheduler.loads():
+        load.ended(name, events=0, tokens=0, now_ms=now_ms)
+
+
+def test_the_most_urgent_goes_first_whatever_came_first() -> None:
+    scheduler = make_scheduler(target("a"))
+    fill(scheduler, 2)
+    for name, rank in (("low", 2), ("mid", 1), ("top", 0)):
+        assert scheduler.submit(job(name, rank=rank), now_ms=0) is None
+    order = []
+    for number in range(2):
+        end(scheduler, f"fill-{number}", now_ms=10)
+        order += placed(scheduler, now_ms=10)
+    end(scheduler, "top", now_ms=20)
+    order += placed(scheduler, now_ms=20)
+    assert order == ["top", "mid", "low"]
+
+
+def test_within_a_rank_those_still_in_time_go_before_late_ones() -> None:
+    scheduler = make_scheduler(target("a"))
+    fill(scheduler, 2)
+    scheduler.submit(job("late", at_ms=0), now_ms=0)
+    scheduler.submit(job("fresh", at_ms=350), now_ms=350)
+    end(scheduler, "fill-0", now_ms=500)
+    assert placed(scheduler, now_ms=500) == ["fresh"]
+
+
+def test_what_can_not_start_in_time_is_refused_at_once() -> None:
+    scheduler = make_scheduler(target("a"))
+    fill(scheduler, 2)
+    for number in range(2):
+        end(scheduler, f"fill-{number}", now_ms=4_000)
+    fill(scheduler, 2, now_ms=4_000)
+    refusal = scheduler.submit(job("extra", at_ms=4_000), now_ms=4_000)
+    assert isinstance(refusal, Refuse)
+    assert refusal.reason is Reason.OVERLOAD
+    assert refusal.retry_after_ms > 0
+
+
+def test_waiting_ends_well_before_the_caller_leaves() -> None:
+    scheduler = make_scheduler(target("a"))
+    fill(scheduler, 2)
+    waiting = job("w")
+    assert scheduler.submit(waiting, now_ms=0) is None
+    limit_ms = int(HOLD_SHARE * waiting.patience_ms)
+    assert scheduler.pump(now_ms=limit_ms - 50) == []
+    (decision,) = scheduler.pump(now_ms=limit_ms)
+    assert isinstance(decision, Refuse)
+    assert decision.reason is Reason.QUEUE_DEADLINE
+    assert scheduler.waiting() == 0
+
+
+def test_without_any_target_the_refusal_is_immediate() -> None:
+    refusal = make_scheduler().submit(job("a"), now_ms=0)
+    assert isinstance(refusal, Refuse)
+    assert refusal.reason is Reason.NO_TARGET
+
+
+def test_a_free_place_is_left_to_more_urgent_work_that_waits_elsewhere() -> None:
+    scheduler = make_scheduler(target("a", slots=1))
+    waiting = [(short_hash("p"), 0, 1)]
+    scheduler.take_peer_waiting("peer", waiting, now_ms=0)
+    scheduler.submit(job("low", rank=1), now_ms=0)
+    assert placed(scheduler, now_ms=0) == []
+    scheduler.submit(job("top", rank=0), now_ms=0)
+    assert placed(scheduler, now_ms=0) == ["top"]
+
+
+def test_a_silent_peer_s_waiting_work_holds_nothing_back() -> None:
+    scheduler = make_scheduler(target("a", slots=1))
+    scheduler.take_peer_waiting("peer", [(short_hash("p"), 0, 9)], now_ms=0)
+    scheduler.submit(job("low", rank=1), now_ms=0)
+    assert placed(scheduler, now_ms=1_000) == ["low"]
+
+
+def test_places_taken_by_peers_are_not_free() -> None:
+    scheduler = make_scheduler(target("a", slots=2))
+    load = PeerLoad(
+        running=2, prefill_tokens=0, token_ms=None, prefill_rate=None, at_ms=0
+    )
+    scheduler.take_peer("peer", "a", load)
+    scheduler.submit(job("w"), now_ms=0)
+    assert placed(scheduler, now_ms=0) == []
+    assert placed(scheduler, now_ms=PEER_LOAD_MS) == ["w"]
+
+
+def test_requests_go_to_the_target_that_has_shown_to_be_faster() -> None:
+    scheduler = make_scheduler(target("slow", slots=9), target("fast", slots=9))
+    for name, token_ms in (("slow", 8.0), ("fast", 2.0)):
+        load = PeerLoad(
+            running=0, prefill_tokens=0, token_ms=token_ms, prefill_rate=None, at_ms=0
+        )
+        scheduler.take_peer("peer", name, load)
+    scheduler.submit(job("w"), now_ms=0)
+    (decision,) = scheduler.pump(now_ms=0)
+    assert isinstance(decision, Place)
+    assert decision.target == "fast"
+
+
+def test_a_session_returns_to_the_target_that_read_its_prompt() -> None:
+    scheduler = make_scheduler(target("a", slots=9), target("b", slots=9))
+    first = job("one", prompt_tokens=20_000, output_tokens=5, part="session")
+    scheduler.submit(first, now_ms=0)
+    (place,) = scheduler.pump(now_ms=0)
+    assert isinstance(place, Place)
+    end(scheduler, "one", now_ms=400)
+    again = replace(first, request_id="two", arrived_ms=1_000, excluded=set())
+    scheduler.submit(again, now_ms=1_000)
+    (second,) = scheduler.pump(now_ms=1_000)
+    assert isinstance(second, Place)
+    assert second.target == place.target
+
+
+def test_a_target_that_fails_is_left_out_and_won_back_with_one_request() -> None:
+    scheduler = make_scheduler(target("a", slots=4))
+    scheduler.submit(job("x"), now_ms=0)
+    assert placed(scheduler, now_ms=0) == ["x"]
+    load = scheduler.load("a")
+    assert load is not None
+    load.failed("x", alive=False, now_ms=10)
+    scheduler.submit(job("y", at_ms=10), now_ms=10)
+    scheduler.submit(job("z", at_ms=10), now_ms=10)
+    assert placed(scheduler, now_ms=10) == []
+    assert placed(scheduler, now_ms=10 + SUSPECT_MS) == ["y"]
+    load.ended("y", events=0, tokens=0, now_ms=600)
+    assert placed(scheduler, now_ms=600) == ["z"]
+
+
+def test_a_full_target_rests_for_a_moment() -> None:
+    scheduler = make_scheduler(target("a", slots=4))
+    scheduler.submit(job("x"), now_ms=0)
+    placed(scheduler, now_ms=0)
+    load = scheduler.load("a")
+    assert load is not None
+    load.full("x", now_ms=0)
+    scheduler.submit(job("y"), now_ms=0)
+    assert placed(scheduler, now_ms=FULL_MS - 1) == []
+    assert placed(scheduler, now_ms=FULL_MS) == ["y"]
+
+
+def test_a_target_restarted_under_its_name_is_a_new_one() -> None:
+    scheduler = make_scheduler(target("a", slots=1))
+    fill(scheduler, 1)
+    scheduler.put_target(target("a", slots=1, started_ms=2))
+    scheduler.submit(job("w"), now_ms=0)
+    assert placed(scheduler, now_ms=0) == ["w"]
+
+
+@pytest.mark.parametrize("leaving_first", [True, False])
+def test_a_target_that_leaves_is_offered_nothing(leaving_first: bool) -> None:
+    scheduler = make_scheduler(target("a"), target("b"))
+    if leaving_first:
+        scheduler.put_target(replace(target("a"), leaving=True))
+    else:
+        scheduler.drop_target("a")
+    for number in range(3):
+        scheduler.submit(job(f"w-{number}"), now_ms=0)
+    decisions = scheduler.pump(now_ms=0)
+    assert {each.target for each in decisions if isinstance(each, Place)} == {"b"}
+
+
+def test_a_request_does_not_go_back_to_a_target_that_failed_it() -> None:
+    scheduler = make_scheduler(target("a"), target("b"))
+    scheduler.submit(job("w", excluded={"a"}), now_ms=0)
+    (decision,) = scheduler.pump(now_ms=0)
+    assert isinstance(decision, Place)
+    assert decision.target == "b"
+
+
+def test_a_request_that_every_target_failed_does_not_wait() -> None:
+    scheduler = make_scheduler(target("a"), target("b"))
+    refusal = scheduler.submit(job("w", excluded={"a", "b"}), now_ms=0)
+    assert isinstance(refusal, Refuse)
+    assert refusal.reason is Reason.NO_TARGET
