--- a/pistachiohaven/__main__.py
+++ b/pistachiohaven/__main__.py
@@ -12,7 +12,7 @@
     from pistachiohaven.components.cli import Commands  # noqa: PLC0415
 
     try:
-        fire.Fire(Commands, name="pistachiohaven")
+        fire.Fire(Commands(), name="pistachiohaven")
     except SettingsError as error:
         sys.stderr.write(f"{error}\n")
         sys.exit(1)
--- a/pistachiohaven/components/cli/_commands.py
+++ b/pistachiohaven/components/cli/_commands.py
@@ -13,7 +13,13 @@
     parse_tree,
     resolve,
 )
-from pistachiohaven.config import EntrySettings, NodeSettings, SidecarSettings, load
+from pistachiohaven.config import (
+    EntrySettings,
+    GatewaySettings,
+    NodeSettings,
+    SidecarSettings,
+    load,
+)
 from pistachiohaven.exceptions import SettingsError
 
 
@@ -57,7 +63,7 @@
             sys.stdout.write(f"{origin.name} = {origin.value}  from {origin.path}\n")
 
     def status(self, url: str) -> None:
-        """Print what the entry or sidecar at URL (ip:port) knows."""
+        """Print what the gateway, entry or sidecar at URL (ip:port) knows."""
         from ._status import fetch_status  # noqa: PLC0415
 
         sys.stdout.write(fetch_status(url))
@@ -105,13 +111,15 @@
     return "".join(f"{leaf}\n" for leaf in leaves)
 
 
-def _process_model(file: str) -> type[NodeSettings] | None:
+def _process_model(file: str) -> type[NodeSettings] | type[GatewaySettings] | None:
     """Return the model of a process's settings file, None for a settings tree."""
     try:
         lines = Path(file).read_text(encoding="utf-8").splitlines()
     except (OSError, UnicodeDecodeError):
         return None
     keys = {line.split(":", 1)[0] for line in lines}
+    if "internal_ports" in keys:
+        return GatewaySettings
     if "listen" not in keys:
         return None
     return SidecarSettings if "target" in keys else EntrySettings
--- a/tests/components/cli/test_commands.py
+++ b/tests/components/cli/test_commands.py
@@ -4,6 +4,7 @@
 
 import pytest
 
+from pistachiohaven.__main__ import main
 from pistachiohaven.components.cli import Commands
 from pistachiohaven.exceptions import SettingsError
 
@@ -37,6 +38,7 @@
         *folder.glob("*/tree.yaml"),
         *folder.glob("*/entry-*.yaml"),
         *folder.glob("*/sidecar-*.yaml"),
+        *folder.glob("*/gateway-*.yaml"),
     ]
     Commands().check(*map(str, files))
     assert "rank=0" in capsys.readouterr().out
@@ -45,3 +47,30 @@
 def test_explain_of_no_leaf_is_an_error() -> None:
     with pytest.raises(SettingsError, match="no such leaf"):
         Commands().explain("examples/demo/tree.yaml", "desk/drafts")
+
+
+def test_help_lists_each_command_with_a_line(
+    monkeypatch: pytest.MonkeyPatch, capsys: pytest.CaptureFixture[str]
+) -> None:
+    monkeypatch.setenv("PAGER", "cat")
+    monkeypatch.setattr("sys.argv", ["pistachiohaven", "--help"])
+    with pytest.raises(SystemExit):
+        main()
+    shown = capsys.readouterr()
+    text = shown.out + shown.err
+    for name, method in vars(Commands).items():
+        if callable(method) and not name.startswith("_"):
+            assert (
+                f"     {name}\n       {(method.__doc__ or '').splitlines()[0]}" in text
+            )
+
+
+def test_a_gateway_s_settings_are_checked(
+    tmp_path: Path, capsys: pytest.CaptureFixture[str]
+) -> None:
+    text = Path("examples/gateway/gateway-1.yaml").read_text()
+    bad = tmp_path / "bad.yaml"
+    bad.write_text(text.replace("retry_ratio: 0.2", "retry_ratio: -1"))
+    with pytest.raises(SystemExit):
+        Commands().check(str(bad))
+    assert "retry_ratio" in capsys.readouterr().err
