Let nothing be overdrawn, and few retries be spent, in the first window after a start

Cause: after all gateways were killed (closing kill_all), each began with a full overdraft and took a peer's first word as a starting point, so a tenant had the tolerance twice within 8 s. The allowance for retries grows over the first window for the same reason.

--- a/pistachiohaven/components/exchange/_messages.py
+++ b/pistachiohaven/components/exchange/_messages.py
@@ -47,6 +47,7 @@
     control_address: str
     incarnation: str
     sequence: int
+    uptime_ms: int
     leaving: bool
     revision: int
     members: tuple[Member, ...]
--- a/pistachiohaven/components/gateway/_peers.py
+++ b/pistachiohaven/components/gateway/_peers.py
@@ -49,6 +49,7 @@
         peers = state.exchange.recipients(now_ms=now_ms)
         if not peers:
             return
+        state.quota.expect_peers(state.exchange.entry_count() - 1)
         self._sequence += 1
         data = encode_digest(self._digest(now_ms=now_ms))
         for peer in peers:
@@ -70,6 +71,7 @@
             control_address=settings.control_address,
             incarnation=state.incarnation,
             sequence=self._sequence,
+            uptime_ms=now_ms - state.started_ms,
             leaving=state.leaving_since_ms is not None,
             revision=state.catalogue.revision,
             members=self._members(now_ms=now_ms),
@@ -124,7 +126,12 @@
             state.log.info(
                 "peer_regained", peer=digest.sender.name, revision=digest.revision
             )
-        state.quota.take_peer(digest.incarnation, digest.used_tokens, now_ms=now_ms)
+        state.quota.take_peer(
+            digest.incarnation,
+            digest.used_tokens,
+            uptime_ms=digest.uptime_ms,
+            now_ms=now_ms,
+        )
         told = {at.target: at for at in digest.running}
         for load in state.scheduler.loads():
             at = told.get(short_hash(load.target.name))
--- a/pistachiohaven/components/gateway/_state.py
+++ b/pistachiohaven/components/gateway/_state.py
@@ -44,8 +44,10 @@
                 window_s=settings.quota_window_s,
                 overage=settings.quota_overage,
                 tokens=settings.quota_tolerance_tokens,
-            )
+            ),
+            now_ms=clock.now_ms(),
         )
+        self.started_ms = clock.now_ms()
         self.table: RouteTable | None = None
         self.exchange = Exchange(
             self_address=settings.exchange_address,
@@ -90,6 +92,7 @@
                 ratio=self.settings.retry_ratio,
                 extra=self.settings.retry_extra,
                 window_ms=int(self.settings.retry_window_s * MS_PER_S),
+                now_ms=self.started_ms,
             )
         return self._budgets[pool]
 
--- a/pistachiohaven/components/quota/_core.py
+++ b/pistachiohaven/components/quota/_core.py
@@ -42,9 +42,11 @@
 
 @dataclass(slots=True, kw_only=True)
 class _Peer:
+    """Hold what a peer told last, and what it was charged since while silent."""
+
     heard_ms: int
-    charged_ms: int
     used: dict[int, int] = field(default_factory=dict)
+    advance: dict[int, float] = field(default_factory=dict)
 
 
 class QuotaLedger:
@@ -52,11 +54,18 @@
 
     Each entry draws its own use at once and that of the others as they report it. An
     entry that is not heard of is charged its even share of the rate, so that entries
-    which can't reach each other stay within the limit together.
+    which can't reach each other stay within the limit together. In the first window
+    after its start an entry knows nothing of what was used before, so nothing may be
+    overdrawn.
     """
 
-    def __init__(self, *, tolerance: QuotaTolerance | None = None) -> None:
+    def __init__(
+        self, *, tolerance: QuotaTolerance | None = None, now_ms: int = 0
+    ) -> None:
         self._tolerance = tolerance or QuotaTolerance()
+        self._started_ms = now_ms
+        self._charged_ms = now_ms
+        self._expected = 0
         self._buckets: dict[str, _Bucket] = {}
         self._peers: dict[str, _Peer] = {}
 
@@ -91,8 +100,9 @@
         self._charge_silent(now_ms=now_ms)
         self._fill(bucket, now_ms=now_ms)
         wanted = min(float(tokens), bucket.burst)
-        if bucket.level + bucket.overdraft < wanted:
-            missing = wanted - bucket.level - bucket.overdraft
+        allowed = bucket.level + self._overdraft_now(bucket, now_ms=now_ms)
+        if allowed < wanted:
+            missing = wanted - allowed
             wait_ms = int(missing * MS_PER_S / bucket.rate_per_s) + 1
             return min(wait_ms, MAX_RETRY_MS)
         bucket.level -= tokens
@@ -125,20 +135,31 @@
         ages = [now_ms - peer.heard_ms for peer in self._peers.values()]
         return max(ages, default=0)
 
-    def take_peer(self, peer: str, used: dict[int, int], *, now_ms: int) -> None:
-        """Draw what `peer` (one incarnation of an entry) used since its last word."""
+    def expect_peers(self, count: int) -> None:
+        """Take in how many other entries may be at work, heard of or not."""
+        self._expected = count
+
+    def take_peer(
+        self, peer: str, used: dict[int, int], *, uptime_ms: int, now_ms: int
+    ) -> None:
+        """Draw what `peer` (one incarnation of an entry) used since its last word.
+
+        Of a peer that is new here, the part is drawn that falls into one window if it
+        used its tokens evenly over its `uptime_ms`.
+        """
+        self._charge_silent(now_ms=now_ms)
         known = self._peers.get(peer)
+        share = 1.0
         if known is None:
-            known = _Peer(heard_ms=now_ms, charged_ms=now_ms)
-            self._peers[peer] = known
-            known.used = dict(used)
-            return
+            known = self._peers[peer] = _Peer(heard_ms=now_ms)
+            share = min(self._window_ms / max(uptime_ms, 1), 1.0)
         for name, bucket in self._buckets.items():
             hashed = short_hash(name)
-            bucket.level -= used.get(hashed, 0) - known.used.get(hashed, 0)
+            spent = (used.get(hashed, 0) - known.used.get(hashed, 0)) * share
+            bucket.level -= spent - known.advance.get(hashed, 0.0)
         known.used = dict(used)
+        known.advance.clear()
         known.heard_ms = now_ms
-        known.charged_ms = now_ms
 
     def drop_peer(self, peer: str) -> None:
         """Forget an incarnation that has ended."""
@@ -156,19 +177,42 @@
         bucket.level = min(bucket.level + gained, bucket.burst)
         bucket.filled_ms = now_ms
 
+    @property
+    def _window_ms(self) -> float:
+        return self._tolerance.window_s * MS_PER_S
+
+    def _overdraft_now(self, bucket: _Bucket, *, now_ms: int) -> float:
+        """Return what may be overdrawn, nothing in the first window after a start."""
+        if now_ms - self._started_ms < self._window_ms:
+            return 0.0
+        return bucket.overdraft
+
     def _charge_silent(self, *, now_ms: int) -> None:
         """Charge each silent peer its even share of every rate."""
+        span_ms = now_ms - self._charged_ms
+        self._charged_ms = now_ms
+        silent: list[_Peer] = []
         for name, peer in list(self._peers.items()):
-            silent_ms = now_ms - peer.heard_ms
-            if silent_ms > FORGET_MS:
+            if now_ms - peer.heard_ms > FORGET_MS:
                 del self._peers[name]
-            elif silent_ms > SILENT_MS:
-                self._charge_share(now_ms - peer.charged_ms)
-                peer.charged_ms = now_ms
-
-    def _charge_share(self, span_ms: int) -> None:
-        entries = len(self._peers) + 1
-        for bucket in self._buckets.values():
+            elif now_ms - peer.heard_ms > SILENT_MS:
+                silent.append(peer)
+        unknown = 0
+        if now_ms - self._started_ms < FORGET_MS:
+            unknown = max(self._expected - len(self._peers), 0)
+        if silent or unknown:
+            self._charge_shares(silent, unknown, span_ms=span_ms)
+
+    def _charge_shares(
+        self, silent: list[_Peer], unknown: int, *, span_ms: int
+    ) -> None:
+        entries = len(self._peers) + unknown + 1
+        for name, bucket in self._buckets.items():
+            hashed = short_hash(name)
             share = bucket.rate_per_s * span_ms / MS_PER_S / entries
             floor = min(bucket.level, -bucket.overdraft)
-            bucket.level = max(bucket.level - share, floor)
+            charged = min(share * (len(silent) + unknown), bucket.level - floor)
+            bucket.level -= charged
+            each = charged / (len(silent) + unknown)
+            for peer in silent:
+                peer.advance[hashed] = peer.advance.get(hashed, 0.0) + each
--- a/tests/components/exchange/test_core.py
+++ b/tests/components/exchange/test_core.py
@@ -30,6 +30,7 @@
         "control_address": f"10.0.0.{name}:7615",
         "incarnation": f"{name}-{incarnation}",
         "sequence": sequence,
+        "uptime_ms": 60_000,
         "leaving": False,
         "revision": 0,
         "members": (),
--- a/tests/components/gateway/stand_ins.py
+++ b/tests/components/gateway/stand_ins.py
@@ -421,4 +421,5 @@
         store=store.address,
         seeds=seeds,
         stop_grace_s=8.0,
+        retry_extra=1_000_000.0,
     )
