--- a/pistachiohaven/components/placement/_scheduler.py
+++ b/pistachiohaven/components/placement/_scheduler.py
@@ -11,6 +11,7 @@
 from ._job import Decision, Job, Place, Refuse
 from ._load import PeerLoad, TargetLoad
 from .const import (
+    HOLD_CHECK_SHARE,
     HOLD_SHARE,
     MAX_RETRY_MS,
     MAX_URGENT_SHARE,
@@ -37,6 +38,7 @@
 
     def __init__(self) -> None:
         self._loads: dict[str, TargetLoad] = {}
+        self._gone: set[str] = set()
         self._pools: dict[str, Pool] = {}
         self._waiting: dict[str, list[Job]] = {}
         self._urgent_share: dict[tuple[str, int], Ewma] = {}
@@ -50,6 +52,7 @@
 
     def put_target(self, target: Target) -> None:
         """Add a target or take in its change; a new incarnation starts anew."""
+        self._gone.discard(target.name)
         load = self._loads.get(target.name)
         if load is not None and load.target.incarnation == target.incarnation:
             load.target = target
@@ -64,11 +67,14 @@
     def drop_target(self, name: str) -> None:
         """Offer nothing more to a target that is gone."""
         load = self._loads.get(name)
-        if load is None:
-            return
-        load.target = replace(load.target, leaving=True)
-        if not load.own_running:
-            del self._loads[name]
+        if load is not None:
+            load.target = replace(load.target, leaving=True)
+            self._gone.add(name)
+        for gone in list(self._gone):
+            known = self._loads.get(gone)
+            if known is None or not known.own_running:
+                self._gone.discard(gone)
+                self._loads.pop(gone, None)
 
     def load(self, name: str) -> TargetLoad | None:
         """Return the load of the target `name`, if known."""
@@ -164,7 +170,7 @@
                 decisions.append(self._place(job, load, now_ms=now_ms))
                 jobs.remove(job)
                 free -= 1
-            elif now_ms >= self._give_up_ms(job, now_ms=now_ms):
+            elif self._is_hopeless(job, now_ms=now_ms):
                 refusal = self._refusal(job, Reason.QUEUE_DEADLINE, now_ms=now_ms)
                 decisions.append(refusal)
                 jobs.remove(job)
@@ -198,6 +204,16 @@
         self._note_rank(job.pool, job.rank)
         return place
 
+    def _is_hopeless(self, job: Job, *, now_ms: int) -> bool:
+        """Return True if `job` has waited for as long as it may.
+
+        The exact limit is worked out only for those that have waited for a while.
+        """
+        patience_ms = job.patience_ms - job.arrived_ms
+        if now_ms - job.arrived_ms < HOLD_CHECK_SHARE * patience_ms:
+            return False
+        return now_ms >= self._give_up_ms(job, now_ms=now_ms)
+
     def _give_up_ms(self, job: Job, *, now_ms: int) -> float:
         """Return until when `job` may wait.
 
--- a/pistachiohaven/components/placement/const.py
+++ b/pistachiohaven/components/placement/const.py
@@ -59,6 +59,9 @@
 The rest is left for a second try and for the first byte.
 """
 
+HOLD_CHECK_SHARE: Final = 0.25
+"""Part of a caller's patience before which a waiting request is not checked again."""
+
 PEER_WAITING_MS: Final = 500
 """Age at which a peer's word on what waits there no longer counts."""
 
--- a/tests/components/placement/test_scheduler.py
+++ b/tests/components/placement/test_scheduler.py
@@ -250,3 +250,14 @@
     refusal = scheduler.submit(job("w", excluded={"a", "b"}), now_ms=0)
     assert isinstance(refusal, Refuse)
     assert refusal.reason is Reason.NO_TARGET
+
+
+def test_a_gone_target_is_forgotten_once_its_requests_have_ended() -> None:
+    scheduler = make_scheduler(target("a"), target("b"))
+    fill(scheduler, 4)
+    scheduler.drop_target("a")
+    assert scheduler.load("a") is not None
+    for number in range(4):
+        end(scheduler, f"fill-{number}", now_ms=10)
+    scheduler.drop_target("b")
+    assert scheduler.loads() == []
