--- a/pistachiohaven/components/quota/const.py
+++ b/pistachiohaven/components/quota/const.py
@@ -20,7 +20,7 @@
 The rest covers what other entries use between two of their digests.
 """
 
-START_SHARE: Final = 0.1
+START_SHARE: Final = 0.5
 """Part of the burst that an entry may use before it has heard of others' use."""
 
 MAX_RETRY_MS: Final = 5_000
