--- a/pistachiohaven/components/gateway/_request.py
+++ b/pistachiohaven/components/gateway/_request.py
@@ -261,6 +261,8 @@
             "refused",
             request_id=self._call.head.attempt_id,
             reason=refusal.reason,
+            pool=refusal.job.pool,
+            rank=refusal.job.rank,
             waiting=refusal.waiting,
             expected_wait_ms=round(refusal.expected_wait_ms),
             retry_after_ms=refusal.retry_after_ms,
