--- a/pistachiohaven/components/gateway/_state.py
+++ b/pistachiohaven/components/gateway/_state.py
@@ -60,7 +60,10 @@
         self._budgets: dict[str, WindowBudget] = {}
 
     def reload(self, settings: GatewaySettings) -> None:
-        """Use new settings; listeners stay where they are."""
+        """Use new settings; listeners stay where they are.
+
+        What was spent of the retries stays spent unless their figures changed.
+        """
         kept = self.settings
         self.settings = settings.model_copy(
             update={
@@ -69,7 +72,9 @@
                 "internal_ports": kept.internal_ports,
             }
         )
-        self._budgets.clear()
+        figures = ("retry_ratio", "retry_extra", "retry_window_s")
+        if any(getattr(kept, name) != getattr(settings, name) for name in figures):
+            self._budgets.clear()
 
     # Readiness
 
