--- a/pistachiohaven/components/placement/_load.py
+++ b/pistachiohaven/components/placement/_load.py
@@ -199,7 +199,7 @@
         self._failed.add(0.0)
         if running is None:
             return
-        self._service_ms.add(now_ms - running.sent_ms)
+        self._service_ms.add(max(now_ms - running.sent_ms, 1))
         if running.first_ms is not None and events >= MIN_SAMPLE_EVENTS and tokens:
             sample = (now_ms - running.first_ms) / tokens
             low, high = (bound * DEFAULT_TOKEN_MS for bound in SPEED_BOUNDS)
--- a/tests/components/placement/test_scheduler.py
+++ b/tests/components/placement/test_scheduler.py
@@ -261,3 +261,12 @@
         end(scheduler, f"fill-{number}", now_ms=10)
     scheduler.drop_target("b")
     assert scheduler.loads() == []
+
+
+def test_a_target_that_answers_within_a_millisecond_is_no_division_by_zero() -> None:
+    scheduler = make_scheduler(target("a", slots=1))
+    for number in range(3):
+        fill(scheduler, 1, now_ms=number)
+        end(scheduler, "fill-0", now_ms=number)
+    fill(scheduler, 1, now_ms=5)
+    assert scheduler.expected_wait_ms(job("w"), now_ms=5) > 0
