Free a target's place when a caller leaves while its connection opens

Cause: a cancellation while a connection to a target opened left the request counted there for ever, so the target's places ran out over time; found by reading. Change: the place is freed. A few names and comments use the usual terms. Measured: test_a_caller_that_leaves_while_connecting_frees_its_place fails before and passes after.

--- a/pistachiohaven/components/fleet/_catalogue.py
+++ b/pistachiohaven/components/fleet/_catalogue.py
@@ -40,7 +40,7 @@
             return False
         if item.value is None:
             self._items.pop(item.key, None)
-            self._bury(item.key, item.revision)
+            self._note_deletion(item.key, item.revision)
             return known is not None
         self._deleted.pop(item.key, None)
         self._items[item.key] = item
@@ -74,7 +74,7 @@
         """Return every item held."""
         return list(self._items.values())
 
-    def _bury(self, key: str, revision: int) -> None:
+    def _note_deletion(self, key: str, revision: int) -> None:
         self._deleted[key] = revision
         while len(self._deleted) > TOMBSTONE_LIMIT:
             oldest = min(self._deleted, key=lambda name: self._deleted[name])
--- a/pistachiohaven/components/gateway/_dispatch.py
+++ b/pistachiohaven/components/gateway/_dispatch.py
@@ -110,8 +110,12 @@
 
     async def run(self) -> Result:
         """Return what became of the request; the load is kept up to date."""
-        taken = await self._pool.take(self._load.target.address)
         request_id = self._call.head.attempt_id
+        try:
+            taken = await self._pool.take(self._load.target.address)
+        except BaseException:
+            self._load.left(request_id)
+            raise
         if isinstance(taken, Err):
             self._load.failed(request_id, alive=False, now_ms=self._clock.now_ms())
             return Failed(failure=Failure.NOT_SENT, detail=taken.err_value)
--- a/pistachiohaven/components/gateway/_request.py
+++ b/pistachiohaven/components/gateway/_request.py
@@ -249,7 +249,7 @@
             tokens=self._call.tokens,
             tokens_left=self._state.quota.left(organisation.name),
             tokens_per_s=organisation.tokens_per_s,
-            peers_heard_ms=self._state.quota.oldest_word_ms(
+            peers_heard_ms=self._state.quota.oldest_report_ms(
                 now_ms=self._state.clock.now_ms()
             ),
             retry_after_ms=wait_ms,
--- a/pistachiohaven/components/placement/const.py
+++ b/pistachiohaven/components/placement/const.py
@@ -45,7 +45,7 @@
 """Factor by which a share of failures of 1 lengthens a target's expected time."""
 
 PEER_LOAD_MS: Final = 1_500
-"""Age at which a peer's word on its load no longer counts."""
+"""Age at which a peer's report of its load no longer counts."""
 
 CACHE_TTL_MS: Final = 30_000
 """How long a target is expected to keep a part of a prompt that it read."""
@@ -63,7 +63,7 @@
 """Part of a caller's patience before which a waiting request is not checked again."""
 
 PEER_WAITING_MS: Final = 500
-"""Age at which a peer's word on what waits there no longer counts."""
+"""Age at which a peer's report of what waits there no longer counts."""
 
 RANK_SHARE: Final = 0.02
 """Weight of the newest placement in the share of more urgent ones; 50 placements."""
--- a/pistachiohaven/components/quota/_core.py
+++ b/pistachiohaven/components/quota/_core.py
@@ -132,8 +132,8 @@
         bucket = self._buckets.get(organisation)
         return None if bucket is None else int(bucket.level)
 
-    def oldest_word_ms(self, *, now_ms: int) -> int:
-        """Return the age of the oldest of the peers' last words."""
+    def oldest_report_ms(self, *, now_ms: int) -> int:
+        """Return the age of the oldest of the peers' last reports."""
         ages = [now_ms - peer.heard_ms for peer in self._peers.values()]
         return max(ages, default=0)
 
@@ -144,7 +144,7 @@
     def take_peer(
         self, peer: str, used: dict[int, int], *, uptime_ms: int, now_ms: int
     ) -> None:
-        """Draw what `peer` (one incarnation of an entry) used since its last word.
+        """Draw what `peer` (one incarnation of an entry) used since its last report.
 
         Of a peer that is new here, the part is drawn that falls into one window if it
         used its tokens evenly over its `uptime_ms`.
--- a/pistachiohaven/components/quota/const.py
+++ b/pistachiohaven/components/quota/const.py
@@ -3,13 +3,13 @@
 from typing import Final
 
 SILENT_MS: Final = 600
-"""Age of a peer's last word from which it is charged its share of each rate.
+"""Age of a peer's last report from which it is charged its share of each rate.
 
 Three to five exchange intervals, so that a lost datagram alone is no silence.
 """
 
 FORGET_MS: Final = 60_000
-"""Age of a peer's last word from which it is taken as gone.
+"""Age of a peer's last report from which it is taken as gone.
 
 Longer than a machine is cut off on any day played.
 """
--- a/pistachiohaven/components/retry/_resend.py
+++ b/pistachiohaven/components/retry/_resend.py
@@ -38,7 +38,7 @@
 def resend_after(route: Route, failure: Failure) -> Resend:
     """Return how a request on `route` may go on after `failure`.
 
-    Only a target's own word or an unused connection frees a request that may run
+    Only a target's own statement or an unused connection frees a request that may run
     once.
     """
     if failure in _SAFE:
--- a/tests/components/gateway/test_histories.py
+++ b/tests/components/gateway/test_histories.py
@@ -353,6 +353,35 @@
     assert len(seen) >= len(PATHS) * 2
 
 
+class StuckPool(FakePool):
+    """Never get a connection."""
+
+    async def take(self, address: str) -> Result[Connection, str]:
+        """Wait for ever."""
+        await trio.sleep_forever()
+        raise AssertionError
+
+
+async def leave_while_connecting() -> None:
+    clock = Clock(monotonic_s=trio.current_time, wall_s=trio.current_time)
+    state = make_state(clock)
+    told = Told()
+    run = RequestRun(
+        state=state,
+        pool=StuckPool(clock=clock),
+        call=make_call(state, "once", 1, clock.now_ms()),
+        body=b"{}",
+        reply=Reply(send=told.send, clock=clock, closing=False),
+    )
+    with trio.move_on_after(0.1):
+        await run.run()
+    assert [load.own_running for load in state.scheduler.loads()] == [0] * 4
+
+
+def test_a_caller_that_leaves_while_connecting_frees_its_place() -> None:
+    trio.run(leave_while_connecting, clock=trio.testing.MockClock(autojump_threshold=0))
+
+
 if __name__ == "__main__":
     for ending, times in sorted(play_many(int(sys.argv[1]), int(sys.argv[2])).items()):
         sys.stdout.write(f"{times:8} {ending}\n")
