Leave a silent target only if its request can go on elsewhere

Cause: a stream whose target sent nothing for a second was given up even when it could go nowhere else (targets spent, budget spent, no other usable target), so its caller got a cut answer although the target might have gone on. A begun stream that had to go on elsewhere was also refused like a new request once half of its caller's patience had passed, which cut it too.

Change: silence is watched for all dispatches by one task. A target that is silent is left out at once, its request moves only if another target may be offered it and the budget pays. Time in which this process stood still is not silence. A begun stream waits for a place until its deadline, ahead of later ones of its rank.

Tests, seen failing before: a paused stream with nowhere to go, one whose targets are spent, a begun stream that waits for a place.

--- a/pistachiohaven/components/gateway/_daemon.py
+++ b/pistachiohaven/components/gateway/_daemon.py
@@ -81,6 +81,7 @@
         nursery.start_soon(follower.follow_peers)
         nursery.start_soon(PeerLink(state=state, sock=bound.exchange).run)
         nursery.start_soon(state.placer.run)
+        nursery.start_soon(state.silence_watch.run)
         nursery.start_soon(_follow_limits, state, server, options, pool)
         nursery.start_soon(_stop_on_signal, state, app, stop)
         nursery.start_soon(_reload_on_signal, state, path)
--- a/pistachiohaven/components/gateway/_dispatch.py
+++ b/pistachiohaven/components/gateway/_dispatch.py
@@ -1,17 +1,15 @@
 """Send a request to one target once and pass its answer on."""
 
-from collections.abc import AsyncIterator
+from collections.abc import AsyncIterator, Callable
 from dataclasses import dataclass
 from typing import Protocol
 
-import trio
 from result import Err
 
 from pistachiohaven import platform
 from pistachiohaven.components.fleet import RequestKind
 from pistachiohaven.components.placement import TargetLoad
 from pistachiohaven.components.retry import Failure
-from pistachiohaven.const import MS_PER_S
 from pistachiohaven.helpers import Clock
 
 from ._call import Call
@@ -25,6 +23,8 @@
     send,
 )
 from ._events import Event, EventSplitter
+from ._silence import Silence
+from ._state import GatewayState
 from .const import (
     GAP_SILENT_FACTOR,
     MAX_ANSWER_BYTES,
@@ -85,24 +85,36 @@
 
 
 class Dispatch:
-    """Run one request on one target."""
+    """Run one request on one target.
+
+    `may_move` says if a request whose target is silent can go elsewhere now.
+    """
 
     def __init__(
         self,
         *,
+        state: GatewayState,
         call: Call,
         body: bytes,
         load: TargetLoad,
         pool: ConnectionPool,
-        clock: Clock,
         sink: Sink,
+        may_move: Callable[[Failure], bool],
     ) -> None:
         self._call = call
         self._body = body
         self._load = load
         self._pool = pool
-        self._clock = clock
+        self._clock: Clock = state.clock
         self._sink = sink
+        self._watch = state.silence_watch
+        self._silence = Silence(
+            request_id=call.head.attempt_id,
+            load=load,
+            may_move=lambda: may_move(self._break_failure()),
+            clock=state.clock,
+            log=state.log,
+        )
         self._splitter = EventSplitter()
         self._events = 0
         self._released = False
@@ -121,11 +133,9 @@
             return Failed(failure=Failure.NOT_SENT, detail=taken.err_value)
         connection = taken.ok_value
         try:
-            result = await self._exchange(connection)
+            result = await self._listen(connection)
         except CONNECTION_ERRORS as error:
             result = self._broken(type(error).__name__)
-        except trio.TooSlowError:
-            result = self._broken("silent")
         except BaseException:
             self._load.left(request_id)
             await self._pool.close(connection)
@@ -152,6 +162,18 @@
         else:
             self._load.failed(request_id, alive=result.alive, now_ms=now_ms)
 
+    async def _listen(self, connection: Connection) -> Result:
+        """Exchange request and answer unless a silent target is given up."""
+        if not self._call.route.repeatable:
+            return await self._exchange(connection)
+        self._watch.follow(self._silence)
+        try:
+            with self._silence.scope:
+                return await self._exchange(connection)
+        finally:
+            self._watch.leave(self._silence)
+        return self._broken("silent")
+
     async def _exchange(self, connection: Connection) -> Result:
         """Send the request and take in its answer."""
         call = self._call
@@ -165,14 +187,15 @@
             resume_after=self._sink.last_event_id,
         )
         self.sent = True
-        with trio.fail_after(self._first_wait_ms(now_ms=now_ms) / MS_PER_S):
-            head = await send(
-                connection,
-                method=call.method,
-                target=call.target,
-                headers=headers,
-                body=self._body,
-            )
+        self._silence.expect(within_ms=self._first_wait_ms(now_ms=now_ms))
+        head = await send(
+            connection,
+            method=call.method,
+            target=call.target,
+            headers=headers,
+            body=self._body,
+        )
+        self._silence.heard()
         problem = self._problem(head)
         if problem is not None:
             return Failed(failure=Failure.NO_ANSWER, detail=problem, alive=True)
@@ -226,7 +249,8 @@
     async def _stream(self, connection: Connection, head: AnswerHead) -> Result:
         """Pass on a stream, whole events only."""
         await self._sink.start(head.status, platform.answer_headers(head.headers))
-        async for chunk in self._timed(read_chunks(head)):
+        first_wait_ms = self._first_wait_ms(now_ms=self._clock.now_ms())
+        async for chunk in self._timed(read_chunks(head), first_wait_ms):
             try:
                 events = self._splitter.feed(chunk)
             except ValueError as error:
@@ -250,36 +274,31 @@
         await self._pool.give_back(connection, head.headers)
         self._released = True
 
-    async def _timed(self, chunks: AsyncIterator[bytes]) -> AsyncIterator[bytes]:
-        """Yield `chunks`; TooSlowError if the target falls silent.
-
-        Only a stream that can go on elsewhere is given up for silence.
-        """
+    async def _timed(
+        self, chunks: AsyncIterator[bytes], first_wait_ms: float
+    ) -> AsyncIterator[bytes]:
+        """Yield `chunks`; the time in which none comes counts as silence."""
+        gap_ms = GAP_SILENT_FACTOR * self._call.route.event_gap_target_ms
+        gap_ms = max(gap_ms, SILENT_FLOOR_MS)
         while True:
-            with trio.fail_after(self._gap_wait_ms() / MS_PER_S):
-                try:
-                    chunk = await anext(chunks)
-                except StopAsyncIteration:
-                    return
+            self._silence.expect(within_ms=gap_ms if self._events else first_wait_ms)
+            try:
+                chunk = await anext(chunks)
+            except StopAsyncIteration:
+                self._silence.heard()
+                return
+            self._silence.heard()
             yield chunk
 
     def _first_wait_ms(self, *, now_ms: int) -> float:
         """Return how long the target may take to begin its answer."""
-        left_ms = max(self._call.deadline_ms - now_ms, 1)
-        if not self._call.route.repeatable:
-            return left_ms
         expected_ms = self._load.first_event_ms(self._call.job(), now_ms=now_ms)
-        return min(max(SILENT_FACTOR * expected_ms, SILENT_FLOOR_MS), left_ms)
+        return max(SILENT_FACTOR * expected_ms, SILENT_FLOOR_MS)
 
-    def _gap_wait_ms(self) -> float:
-        left_ms = max(self._call.deadline_ms - self._clock.now_ms(), 1)
-        if not self._call.route.repeatable:
-            return left_ms
-        gap_ms = GAP_SILENT_FACTOR * self._call.route.event_gap_target_ms
-        return min(max(gap_ms, SILENT_FLOOR_MS), left_ms)
+    def _break_failure(self) -> Failure:
+        """Return what it is if the connection breaks or is given up now."""
+        began = self._sink.last_event_id is not None or self._events > 0
+        return Failure.BROKEN if began else Failure.NO_ANSWER
 
     def _broken(self, detail: str) -> Failed:
-        """Return the failure of a connection that broke or fell silent."""
-        began = self._sink.last_event_id is not None or self._events > 0
-        failure = Failure.BROKEN if began else Failure.NO_ANSWER
-        return Failed(failure=failure, detail=detail)
+        return Failed(failure=self._break_failure(), detail=detail)
--- a/pistachiohaven/components/gateway/_request.py
+++ b/pistachiohaven/components/gateway/_request.py
@@ -1,5 +1,7 @@
 """See one caller's request to its one answer."""
 
+from functools import partial
+
 import trio
 
 from pistachiohaven.components.placement import Job, Refuse
@@ -51,6 +53,7 @@
         self._ran_on = 0
         self._arrivals = 0
         self._charged = False
+        self._resend_paid = False
         self._error: Whole | None = None
         self.reason: Reason | None = None
 
@@ -106,12 +109,13 @@
             return Failed(failure=Failure.NOT_SENT, detail="target gone")
         budget = state.budget(self._call.pool_name)
         dispatch = Dispatch(
+            state=state,
             call=self._call,
             body=self._body,
             load=load,
             pool=self._pool,
-            clock=state.clock,
             sink=self._reply,
+            may_move=partial(self._may_move, target),
         )
         if not self._arrivals:
             budget.fresh(now_ms=state.clock.now_ms())
@@ -140,22 +144,45 @@
             sent=self._arrivals,
             last_event_id=self._reply.last_event_id,
         )
-        if resend_after(self._call.route, failed.failure) is Resend.NEVER:
-            return False
-        if failed.failure is Failure.BROKEN and self._reply.last_event_id is None:
+        if not self._may_resend(failed.failure):
             return False
-        limit = self._call.route.max_targets
-        if self._ran_on >= limit or self._arrivals >= limit + EXTRA_REJECTIONS:
+        if not self._resend_paid and not self._pay_resend(failed.failure):
+            self.reason = Reason.RETRY_BUDGET
             return False
-        if failed.failure is not Failure.NOT_SENT:
-            budget = state.budget(self._call.pool_name)
-            entries = state.exchange.entry_count()
-            if not budget.spend(entries=entries, now_ms=state.clock.now_ms()):
-                self.reason = Reason.RETRY_BUDGET
-                return False
+        self._resend_paid = False
         self._job.excluded.add(target)
+        self._job.begun = self._reply.started
         return True
 
+    def _may_move(self, target: str, failure: Failure) -> bool:
+        """Return True if the request can leave its silent target for another now."""
+        state = self._state
+        now_ms = state.clock.now_ms()
+        if not state.scheduler.has_alternative(self._job, target, now_ms=now_ms):
+            return False
+        if not self._may_resend(failure):
+            return False
+        self._resend_paid = self._pay_resend(failure)
+        return self._resend_paid
+
+    def _may_resend(self, failure: Failure) -> bool:
+        """Return True if the route lets the request go to one more target."""
+        if resend_after(self._call.route, failure) is Resend.NEVER:
+            return False
+        if failure is Failure.BROKEN and self._reply.last_event_id is None:
+            return False
+        limit = self._call.route.max_targets
+        return self._ran_on < limit and self._arrivals < limit + EXTRA_REJECTIONS
+
+    def _pay_resend(self, failure: Failure) -> bool:
+        """Spend one further dispatch of the pool's budget; False if none is left."""
+        if failure is Failure.NOT_SENT:
+            return True
+        state = self._state
+        return state.budget(self._call.pool_name).spend(
+            entries=state.exchange.entry_count(), now_ms=state.clock.now_ms()
+        )
+
     # Answers
 
     async def _answer_failure(self, failed: Failed) -> None:
--- /dev/null
+++ b/pistachiohaven/components/gateway/_silence.py
@@ -0,0 +1,106 @@
+"""Give up a target that has fallen silent, if its request can go on elsewhere."""
+
+from collections.abc import Callable
+
+import trio
+
+from pistachiohaven.components.placement import TargetLoad
+from pistachiohaven.const import MS_PER_S
+from pistachiohaven.helpers import Clock, PartLogger
+
+from .const import SILENCE_CHECK_MS
+
+
+class Silence:
+    """Follow how long the target of one dispatch has sent nothing.
+
+    `may_move` is asked while the silence lasts; once it returns True, `scope` is
+    cancelled. A request that has nowhere to go is left with its target.
+    """
+
+    def __init__(
+        self,
+        *,
+        request_id: str,
+        load: TargetLoad,
+        may_move: Callable[[], bool],
+        clock: Clock,
+        log: PartLogger,
+    ) -> None:
+        self.scope = trio.CancelScope()
+        self._request_id = request_id
+        self._load = load
+        self._may_move = may_move
+        self._clock = clock
+        self._log = log
+        self._since_ms: int | None = None
+        self._allowed_ms = 0.0
+        self._noted = False
+
+    def expect(self, *, within_ms: float) -> None:
+        """Expect the target to send something within `within_ms`."""
+        self._since_ms = self._clock.now_ms()
+        self._allowed_ms = within_ms
+
+    def heard(self) -> None:
+        """Note that the target sent something; nothing is expected for now."""
+        if self._noted:
+            self._noted = False
+            self._load.heard(now_ms=self._clock.now_ms())
+            self._log.info(
+                "target_heard",
+                request_id=self._request_id,
+                target=self._load.target.name,
+            )
+        self._since_ms = None
+
+    def check(self, *, paused_ms: int) -> None:
+        """Look at the silence; this process stood still for `paused_ms` of it."""
+        if self._since_ms is None:
+            return
+        self._since_ms += paused_ms
+        now_ms = self._clock.now_ms()
+        if now_ms - self._since_ms < self._allowed_ms:
+            return
+        if not self._noted:
+            self._note(now_ms=now_ms, silent_ms=now_ms - self._since_ms)
+        if self._may_move():
+            self._since_ms = None
+            self.scope.cancel()
+
+    def _note(self, *, now_ms: int, silent_ms: int) -> None:
+        self._noted = True
+        self._load.silent(now_ms=now_ms)
+        self._log.info(
+            "target_silent",
+            request_id=self._request_id,
+            target=self._load.target.name,
+            silent_ms=silent_ms,
+            allowed_ms=round(self._allowed_ms),
+        )
+
+
+class SilenceWatch:
+    """Check all dispatches that wait for a target."""
+
+    def __init__(self, *, clock: Clock) -> None:
+        self._clock = clock
+        self._followed: set[Silence] = set()
+
+    def follow(self, silence: Silence) -> None:
+        """Check `silence` from now on."""
+        self._followed.add(silence)
+
+    def leave(self, silence: Silence) -> None:
+        """Check `silence` no more."""
+        self._followed.discard(silence)
+
+    async def run(self) -> None:
+        """Check at fixed times; time in which this process stood still is left out."""
+        while True:
+            before_ms = self._clock.now_ms()
+            await trio.sleep(SILENCE_CHECK_MS / MS_PER_S)
+            late_ms = self._clock.now_ms() - before_ms - SILENCE_CHECK_MS
+            paused_ms = late_ms if late_ms > SILENCE_CHECK_MS else 0
+            for silence in list(self._followed):
+                silence.check(paused_ms=paused_ms)
--- a/pistachiohaven/components/gateway/_state.py
+++ b/pistachiohaven/components/gateway/_state.py
@@ -23,6 +23,7 @@
 
 from ._metrics import GatewayMetrics
 from ._placer import Placer
+from ._silence import SilenceWatch
 
 
 class GatewayState:
@@ -39,6 +40,7 @@
         self.targets = TargetList()
         self.scheduler = Scheduler()
         self.placer = Placer(scheduler=self.scheduler, clock=clock)
+        self.silence_watch = SilenceWatch(clock=clock)
         self.quota = QuotaLedger(
             tolerance=QuotaTolerance(
                 window_s=settings.quota_window_s,
--- a/pistachiohaven/components/gateway/const.py
+++ b/pistachiohaven/components/gateway/const.py
@@ -47,6 +47,9 @@
 SILENT_FLOOR_MS: Final = 1_000
 """Shortest silence of a target after which a repeatable request goes elsewhere."""
 
+SILENCE_CHECK_MS: Final = 100
+"""Time between two looks at silent targets; a tenth of the shortest silence."""
+
 SILENT_FACTOR: Final = 4.0
 """Silence allowed as a multiple of the expected time to the first event."""
 
--- a/pistachiohaven/components/placement/_job.py
+++ b/pistachiohaven/components/placement/_job.py
@@ -10,7 +10,8 @@
     """Describe one request; times are monotonic milliseconds, sizes tokens.
 
     `part` names the session's own part of the prompt, empty without one. The first
-    byte is due at `due_ms`; a caller without one leaves at `patience_ms`.
+    byte is due at `due_ms`; a caller without one leaves at `patience_ms`. One that has
+    `begun` to read its answer waits until `deadline_ms`.
     """
 
     request_id: str
@@ -25,6 +26,7 @@
     due_ms: int
     patience_ms: int
     deadline_ms: int
+    begun: bool = False
     excluded: set[str] = field(default_factory=set)
 
 
--- a/pistachiohaven/components/placement/_load.py
+++ b/pistachiohaven/components/placement/_load.py
@@ -213,14 +213,23 @@
         """Note that a request failed; `alive` means that the target answered."""
         self._running.pop(request_id, None)
         self._failed.add(1.0)
-        if alive:
-            return
+        if not alive:
+            self.silent(now_ms=now_ms)
+
+    def silent(self, *, now_ms: int) -> None:
+        """Note that the target does not answer; it is left out and then tried."""
         pause_ms = min(SUSPECT_MS << self._failures_in_row, SUSPECT_MAX_MS)
         if now_ms >= self._excluded_until_ms:
             self._failures_in_row = min(self._failures_in_row + 1, 8)
             self._excluded_until_ms = now_ms + pause_ms
         self._proving = True
 
+    def heard(self, *, now_ms: int) -> None:
+        """Note that a target which was silent has sent something."""
+        self._failures_in_row = 0
+        self._excluded_until_ms = now_ms
+        self._proving = False
+
     def full(self, request_id: str, *, now_ms: int) -> None:
         """Note that the target refused a request as full."""
         self._running.pop(request_id, None)
--- a/pistachiohaven/components/placement/_scheduler.py
+++ b/pistachiohaven/components/placement/_scheduler.py
@@ -119,14 +119,10 @@
 
     def submit(self, job: Job, *, now_ms: int) -> Refuse | None:
         """Let `job` wait, or refuse it at once if it could not start in time."""
-        usable = self._usable(job.pool, now_ms=now_ms)
-        if all(load.target.name in job.excluded for load in usable):
-            return self._refusal(job, Reason.NO_TARGET, now_ms=now_ms)
-        wait_ms = self.expected_wait_ms(job, now_ms=now_ms)
-        if wait_ms > 0 and now_ms + wait_ms > self._give_up_ms(job, now_ms=now_ms):
-            return self._refusal(job, Reason.OVERLOAD, now_ms=now_ms)
-        self._waiting.setdefault(job.pool, []).append(job)
-        return None
+        refusal = None if job.begun else self._refuse_new(job, now_ms=now_ms)
+        if refusal is None:
+            self._waiting.setdefault(job.pool, []).append(job)
+        return refusal
 
     def withdraw(self, job: Job) -> None:
         """Take a waiting job out again."""
@@ -142,6 +138,14 @@
                 decisions += self._pump_pool(jobs, now_ms=now_ms)
         return decisions
 
+    def has_alternative(self, job: Job, target: str, *, now_ms: int) -> bool:
+        """Return True if a target other than `target` may be offered `job`."""
+        tried = job.excluded | {target}
+        return any(
+            load.usable(now_ms=now_ms) and load.target.name not in tried
+            for load in self._in_pool(job.pool)
+        )
+
     def expected_wait_ms(self, job: Job, *, now_ms: int) -> float:
         """Return how long `job` would wait for a place behind what goes first."""
         loads = self._usable(job.pool, now_ms=now_ms)
@@ -157,6 +161,15 @@
 
     # Inner
 
+    def _refuse_new(self, job: Job, *, now_ms: int) -> Refuse | None:
+        usable = self._usable(job.pool, now_ms=now_ms)
+        if all(load.target.name in job.excluded for load in usable):
+            return self._refusal(job, Reason.NO_TARGET, now_ms=now_ms)
+        wait_ms = self.expected_wait_ms(job, now_ms=now_ms)
+        if wait_ms > 0 and now_ms + wait_ms > self._give_up_ms(job, now_ms=now_ms):
+            return self._refusal(job, Reason.OVERLOAD, now_ms=now_ms)
+        return None
+
     def _pump_pool(self, jobs: list[Job], *, now_ms: int) -> list[Decision]:
         decisions: list[Decision] = []
         jobs.sort(key=lambda job: self._order(job, now_ms=now_ms))
@@ -179,7 +192,8 @@
         return decisions
 
     def _order(self, job: Job, *, now_ms: int) -> tuple[int, bool, int]:
-        return (job.rank, now_ms > job.due_ms, job.arrived_ms)
+        late = now_ms > job.due_ms and not job.begun
+        return (job.rank, late, job.arrived_ms)
 
     def _choose(self, job: Job, *, now_ms: int) -> TargetLoad | None:
         """Return the target with room where `job` is expected to end first."""
@@ -209,6 +223,8 @@
 
         The exact limit is worked out only for those that have waited for a while.
         """
+        if job.begun:
+            return now_ms >= job.deadline_ms
         patience_ms = job.patience_ms - job.arrived_ms
         if now_ms - job.arrived_ms < HOLD_CHECK_SHARE * patience_ms:
             return False
--- a/tests/components/gateway/test_gateway.py
+++ b/tests/components/gateway/test_gateway.py
@@ -489,3 +489,93 @@
     assert b'gateway_dispatches_total{end="answered",pool="p"} 1.0' in metrics.body
     known = json.loads((await running.get(control, "/status")).body)
     assert known["config_version"] == 1
+
+
+def paused_stream(
+    running: Scene, pause_s: float
+) -> Callable[[Received, trio.SocketStream], Awaitable[bool]]:
+    """Return an answer that pauses within its stream and then ends well."""
+
+    async def answer(request: Received, stream: trio.SocketStream) -> bool:
+        await running.targets[0].stream_head(request, stream)
+        await send_chunk(stream, event_bytes(1))
+        await trio.sleep(pause_s)
+        for number in range(2, EVENT_COUNT + 1):
+            await send_chunk(stream, event_bytes(number))
+        await stream.send_all(b"0\r\n\r\n")
+        return True
+
+    return answer
+
+
+@run_scene(targets=1)
+async def test_a_paused_stream_that_can_go_nowhere_else_is_waited_for(
+    running: Scene,
+) -> None:
+    script_all(running, paused_stream(running, 1.5))
+    reply = await running.call("/stream-again/x")
+    assert reply.complete
+    assert reply.body == WHOLE_STREAM
+    assert len(running.received) == 1
+
+
+@run_scene()
+async def test_a_paused_stream_stays_once_its_targets_are_spent(running: Scene) -> None:
+    script_all(running, cut, paused_stream(running, 1.5))
+    reply = await running.call("/stream-again/x")
+    assert reply.complete
+    assert reply.body == WHOLE_STREAM
+
+
+@run_scene(targets=1)
+async def test_a_silent_target_that_speaks_again_is_used_again(running: Scene) -> None:
+    script_all(running, paused_stream(running, 1.2))
+    await running.call("/stream-again/x")
+    reply = await running.call("/stream-once/x")
+    assert reply.complete
+
+
+@run_scene()
+async def test_a_begun_stream_waits_for_a_place_to_go_on(running: Scene) -> None:
+    """The second target is full for longer than a new request would wait."""
+    busy, other = running.targets
+    running.store.put("servers/i-1", other.entry("p", slots=1))
+    running.store.put("servers/i-0", busy.entry("p", state="draining"))
+
+    async def drained() -> bool:
+        reply = await running.get(running.settings.control_address, "/status")
+        return any(target["leaving"] for target in json.loads(reply.body)["targets"])
+
+    await running.until(drained)
+
+    async def broken(request: Received, stream: trio.SocketStream) -> bool:
+        await other.stream_head(request, stream)
+        await send_chunk(stream, event_bytes(1))
+        await trio.sleep(0.2)
+        return False
+
+    async def slow(request: Received, stream: trio.SocketStream) -> bool:
+        await trio.sleep(1.8)
+        return await busy.good(request, stream)
+
+    other.script.steps = [broken]
+    busy.script.steps = [slow]
+    replies = []
+
+    async def first() -> None:
+        replies.append(await running.call("/stream-again/x"))
+
+    async with trio.open_nursery() as nursery:
+        nursery.start_soon(first)
+        await running.until(lambda: _is(len(other.received) == 1))
+        running.store.put("servers/i-0", busy.entry("p", slots=1))
+        await running.until(running.ready)
+        await trio.sleep(0.1)
+        nursery.start_soon(running.call, "/once/x")
+    (reply,) = replies
+    assert reply.complete
+    assert reply.body == WHOLE_STREAM
+
+
+async def _is(value: bool) -> bool:
+    return value
--- a/tests/components/placement/test_scheduler.py
+++ b/tests/components/placement/test_scheduler.py
@@ -270,3 +270,42 @@
         end(scheduler, "fill-0", now_ms=number)
     fill(scheduler, 1, now_ms=5)
     assert scheduler.expected_wait_ms(job("w"), now_ms=5) > 0
+
+
+def test_a_begun_stream_waits_until_its_deadline_and_goes_first() -> None:
+    scheduler = make_scheduler(target("i-0", slots=1))
+    scheduler.submit(job("new-1"), now_ms=0)
+    scheduler.pump(now_ms=0)
+    begun = job("begun", at_ms=0, begun=True, deadline_ms=15_000)
+    assert scheduler.submit(begun, now_ms=6_000) is None
+    scheduler.submit(job("new-2", at_ms=6_000), now_ms=6_000)
+    assert scheduler.pump(now_ms=6_100) == []
+    load = scheduler.load("i-0")
+    assert load is not None
+    load.ended("new-1", events=1, tokens=0, now_ms=6_200)
+    placed = scheduler.pump(now_ms=6_200)
+    assert [decision.job.request_id for decision in placed] == ["begun"]
+
+
+def test_a_begun_stream_without_a_place_is_given_up_at_its_deadline() -> None:
+    scheduler = make_scheduler(target("i-0"))
+    begun = job("begun", begun=True, deadline_ms=15_000, excluded={"i-0"})
+    assert scheduler.submit(begun, now_ms=6_000) is None
+    assert scheduler.pump(now_ms=14_999) == []
+    (refused,) = scheduler.pump(now_ms=15_000)
+    assert isinstance(refused, Refuse)
+
+
+def test_a_silent_target_is_left_out_until_it_is_heard() -> None:
+    scheduler = make_scheduler(target("i-0"), target("i-1"))
+    scheduler.submit(job("first"), now_ms=0)
+    (placed,) = scheduler.pump(now_ms=0)
+    assert isinstance(placed, Place)
+    load = scheduler.load(placed.target)
+    assert load is not None
+    load.silent(now_ms=1_000)
+    assert not load.has_room(now_ms=1_000)
+    assert not load.has_room(now_ms=1_000 + SUSPECT_MS)
+    assert scheduler.has_alternative(placed.job, placed.target, now_ms=1_000)
+    load.heard(now_ms=1_100)
+    assert load.has_room(now_ms=1_100)
