Drop what a target sends in the turn in which it is given up

The chunk had been read, its ids were noted as sent, and the cancellation then ended the send itself, so the next target was asked to go on after pieces that the caller never got.

Change: after each read the dispatch first lets a cancellation take effect, and only then passes the chunk on.

--- a/pistachiohaven/components/gateway/_dispatch.py
+++ b/pistachiohaven/components/gateway/_dispatch.py
@@ -281,13 +281,10 @@
         gap_ms = GAP_SILENT_FACTOR * self._call.route.event_gap_target_ms
         gap_ms = max(gap_ms, SILENT_FLOOR_MS)
         while True:
-            self._silence.expect(within_ms=gap_ms if self._events else first_wait_ms)
-            try:
-                chunk = await anext(chunks)
-            except StopAsyncIteration:
-                self._silence.heard()
+            within_ms = gap_ms if self._events else first_wait_ms
+            chunk = await self._silence.next_chunk(chunks, within_ms=within_ms)
+            if chunk is None:
                 return
-            self._silence.heard()
             yield chunk
 
     def _first_wait_ms(self, *, now_ms: int) -> float:
--- a/pistachiohaven/components/gateway/_silence.py
+++ b/pistachiohaven/components/gateway/_silence.py
@@ -1,6 +1,6 @@
 """Give up a target that has fallen silent, if its request can go on elsewhere."""
 
-from collections.abc import Callable
+from collections.abc import AsyncIterator, Callable
 
 import trio
 
@@ -54,6 +54,17 @@
             )
         self._since_ms = None
 
+    async def next_chunk(
+        self, chunks: AsyncIterator[bytes], *, within_ms: float
+    ) -> bytes | None:
+        """Return what the target sends next, None at the end."""
+        self.expect(within_ms=within_ms)
+        chunk = await anext(chunks, None)
+        # A chunk that came after the target was given up is sent again by the next one.
+        await trio.lowlevel.checkpoint_if_cancelled()
+        self.heard()
+        return chunk
+
     def check(self, *, paused_ms: int) -> None:
         """Look at the silence; this process stood still for `paused_ms` of it."""
         if self._since_ms is None:
