Tell peers short updates between whole digests, longest untold first

Cause: with 20 gateways and 19 engines a digest was 650 bytes, so the 7 KB/s of a node let each peer hear every 1.8 s on average, and chosen at random, up to 4 s: longer than the 600 ms from which a peer counts as silent for quotas and the 1.5 s for which its load counts.

Change: an update holds one byte of running requests and one of prompt tokens for each target of a list that both sides name by its hash, and only the counts of organisations that changed: some 170 bytes. Every peer gets one in turn; a whole digest follows on a start, when asked for, and now and then.

--- a/benchmarks/gateway.py
+++ b/benchmarks/gateway.py
@@ -11,8 +11,8 @@
     Member,
     RunningAt,
     WaitingAt,
-    decode_digest,
-    encode_digest,
+    decode_datagram,
+    encode_datagram,
     short_hash,
 )
 from pistachiohaven.components.fleet import Organisation, Pool, Target
@@ -160,10 +160,10 @@
     """Print every figure."""
     table = Table(title="gateway", columns=("what", "figure"))
     for targets, organisations in ((6, 5), (24, 20), (24, 340)):
-        data = encode_digest(make_digest(targets, organisations))
+        data = encode_datagram(make_digest(targets, organisations))
         name = f"digest of {targets} targets, {organisations} organisations"
         table.add(name, f"{len(data)} bytes")
-        table.add(name, f"{timed_us(lambda d=data: decode_digest(d), 500):.0f} us")
+        table.add(name, f"{timed_us(lambda d=data: decode_datagram(d), 500):.0f} us")
     exchange = Exchange(self_address="0:0", seeds=(), rng=random.Random(1))
     digest = make_digest(24, 20)
     took_us = timed_us(lambda: exchange.take(digest, now_ms=1), 500)
--- a/pistachiohaven/components/exchange/__init__.py
+++ b/pistachiohaven/components/exchange/__init__.py
@@ -1,25 +1,34 @@
 """Let entries tell each other what they have running and what they know."""
 
-from ._core import Exchange, Peer, PeerEvents
+from ._core import Exchange, Peer, PeerEvents, Recipient
 from ._messages import (
+    Ask,
+    Datagram,
     Digest,
     Member,
     RunningAt,
+    Update,
     WaitingAt,
-    decode_digest,
-    encode_digest,
+    decode_datagram,
+    encode_datagram,
+    hash_names,
     short_hash,
 )
 
 __all__ = [
+    "Ask",
+    "Datagram",
     "Digest",
     "Exchange",
     "Member",
     "Peer",
     "PeerEvents",
+    "Recipient",
     "RunningAt",
+    "Update",
     "WaitingAt",
-    "decode_digest",
-    "encode_digest",
+    "decode_datagram",
+    "encode_datagram",
+    "hash_names",
     "short_hash",
 ]
--- a/pistachiohaven/components/exchange/_core.py
+++ b/pistachiohaven/components/exchange/_core.py
@@ -5,7 +5,7 @@
 
 from pistachiohaven.const import MS_PER_S
 
-from ._messages import Digest, Member
+from ._messages import Digest, Member, Update, short_hash
 from .const import (
     BYTES_PER_S,
     FAN_OUT,
@@ -14,6 +14,8 @@
     LIVE_MS,
     MEMBERS_TOLD,
     RETRY_MS,
+    ROUNDS_PER_DIGEST,
+    UPDATES_PER_DIGEST,
 )
 
 
@@ -30,6 +32,8 @@
     heard_ms: int | None = None
     known_ms: int = 0
     told_ms: int | None = None
+    updates_told: int = 0
+    needs_digest: bool = True
 
     def live(self, *, now_ms: int) -> bool:
         """Return True if the peer has been heard of lately."""
@@ -38,13 +42,25 @@
 
 @dataclass(frozen=True, slots=True, kw_only=True)
 class PeerEvents:
-    """Say what a digest changed: incarnations that ended, whether it is news."""
+    """Say what a message changed: incarnations that ended, whether it is news.
+
+    `peer` is its sender, None if that is not known.
+    """
 
     fresh: bool
+    peer: Peer | None = None
     ended: tuple[str, ...] = ()
     regained: bool = False
 
 
+@dataclass(frozen=True, slots=True, kw_only=True)
+class Recipient:
+    """Name a peer to tell now: the `whole` state, or an update only."""
+
+    peer: Peer
+    whole: bool
+
+
 class Exchange:
     """Hold the entries known and choose whom to tell.
 
@@ -57,7 +73,9 @@
         self._self_address = self_address
         self._rng = rng
         self._peers: dict[str, Peer] = {}
+        self._by_hash: dict[int, Peer] = {}
         self._next_round_ms = 0
+        self._rounds_since_whole = 0
         for address in seeds:
             self._learn(Member(name="", address=address), now_ms=0)
         self._seeds = frozenset(self._peers)
@@ -85,6 +103,10 @@
             return PeerEvents(fresh=False)
         ended = () if same or not peer.incarnation else (peer.incarnation,)
         regained = not peer.live(now_ms=now_ms)
+        if not same:
+            self.needs_digest(digest.sender.address)
+            self._by_hash.pop(short_hash(peer.incarnation), None)
+            self._by_hash[short_hash(digest.incarnation)] = peer
         peer.member = digest.sender
         peer.incarnation = digest.incarnation
         peer.control_address = digest.control_address
@@ -94,24 +116,58 @@
         peer.heard_ms = now_ms
         for member in digest.members:
             self._learn(member, now_ms=now_ms)
-        return PeerEvents(fresh=True, ended=ended, regained=regained)
+        return PeerEvents(fresh=True, peer=peer, ended=ended, regained=regained)
+
+    def take_update(self, update: Update, *, now_ms: int) -> PeerEvents:
+        """Take in an update; one that is old or from an unknown sender is left out."""
+        peer = self._by_hash.get(update.sender)
+        if peer is None:
+            return PeerEvents(fresh=False)
+        if update.sequence <= peer.sequence:
+            return PeerEvents(fresh=False, peer=peer)
+        regained = not peer.live(now_ms=now_ms)
+        peer.sequence = update.sequence
+        peer.revision = update.revision
+        peer.leaving = update.leaving
+        peer.heard_ms = now_ms
+        return PeerEvents(fresh=True, peer=peer, regained=regained)
 
     def members_to_tell(self, *, now_ms: int) -> tuple[Member, ...]:
         """Return a few live members for the next digest."""
         live = [peer.member for peer in self.live(now_ms=now_ms)]
         return tuple(self._rng.sample(live, min(len(live), MEMBERS_TOLD)))
 
-    def recipients(self, *, now_ms: int) -> list[Peer]:
-        """Return whom to tell now; empty if the next round is not due yet."""
+    def recipients(self, *, now_ms: int) -> list[Recipient]:
+        """Return whom to tell now; empty if the next round is not due yet.
+
+        One gets the whole state at most, and that only now and then unless it needs
+        it: more would delay the rounds that follow.
+        """
         if now_ms < self._next_round_ms:
             return []
         self._forget(now_ms=now_ms)
         due = [peer for peer in self._peers.values() if self._due(peer, now_ms=now_ms)]
         self._rng.shuffle(due)
+        due.sort(key=lambda peer: -1 if peer.told_ms is None else peer.told_ms)
         chosen = due[:FAN_OUT]
+        told_whole = self._whole_recipient(chosen)
         for peer in chosen:
             peer.told_ms = now_ms
-        return chosen
+            peer.updates_told += 1
+        if told_whole is not None:
+            told_whole.updates_told = 0
+            told_whole.needs_digest = False
+        return [Recipient(peer=peer, whole=peer is told_whole) for peer in chosen]
+
+    def needs_digest(self, address: str) -> None:
+        """Tell the entry at `address` the whole state next."""
+        peer = self._peers.get(address)
+        if peer is not None:
+            peer.needs_digest = True
+
+    def cycle_rounds(self) -> int:
+        """Return the rounds in which every peer is told once."""
+        return -(-len(self._peers) // FAN_OUT)
 
     def sent(self, size_bytes: int, *, now_ms: int) -> None:
         """Note the bytes of a round; a large one delays the next."""
@@ -127,6 +183,16 @@
         ]
         return max(ahead, key=lambda peer: peer.revision, default=None)
 
+    def _whole_recipient(self, chosen: list[Peer]) -> Peer | None:
+        self._rounds_since_whole += 1
+        needy = [peer for peer in chosen if peer.needs_digest]
+        if not needy and self._rounds_since_whole >= ROUNDS_PER_DIGEST:
+            needy = [peer for peer in chosen if peer.updates_told >= UPDATES_PER_DIGEST]
+        if not needy:
+            return None
+        self._rounds_since_whole = 0
+        return needy[0]
+
     def _due(self, peer: Peer, *, now_ms: int) -> bool:
         if peer.live(now_ms=now_ms) or peer.told_ms is None:
             return True
@@ -141,3 +207,4 @@
             last_ms = peer.known_ms if peer.heard_ms is None else peer.heard_ms
             if address not in self._seeds and now_ms - last_ms > FORGET_MS:
                 del self._peers[address]
+                self._by_hash.pop(short_hash(peer.incarnation), None)
--- a/pistachiohaven/components/exchange/_messages.py
+++ b/pistachiohaven/components/exchange/_messages.py
@@ -1,5 +1,7 @@
 """Define the datagram between entries; MessagePack arrays, no field names."""
 
+from collections.abc import Iterable
+
 import msgspec
 from result import Err, Ok, Result
 
@@ -35,12 +37,11 @@
     count: int
 
 
-class Digest(msgspec.Struct, array_like=True, frozen=True, kw_only=True):
-    """Tell one entry's state; a newer one replaces all that came before.
+class Digest(msgspec.Struct, array_like=True, frozen=True, kw_only=True, tag=0):
+    """Tell one entry's whole state; a newer one replaces all that came before.
 
     `used_tokens` counts from the sender's start, by hash of the organisation's name.
-    `revision` is that of the newest
-    published change it has taken in.
+    `revision` is that of the newest published change it has taken in.
     """
 
     sender: Member
@@ -56,19 +57,51 @@
     used_tokens: dict[int, int]
 
 
+class Update(msgspec.Struct, array_like=True, frozen=True, kw_only=True, tag=1):
+    """Tell what changes quickly, in a quarter of a digest's size.
+
+    `sender` is the hash of the incarnation that a digest has told. `running` and
+    `prefill` hold a byte for each target of the list with the hash `targets`, in the
+    order of their names: requests, and prompt tokens in steps of `PREFILL_STEP`.
+    `used_tokens` holds only what has changed lately.
+    """
+
+    sender: int
+    sequence: int
+    leaving: bool
+    revision: int
+    targets: int
+    running: bytes
+    prefill: bytes
+    waiting: tuple[WaitingAt, ...]
+    used_tokens: dict[int, int]
+
+
+class Ask(msgspec.Struct, array_like=True, frozen=True, kw_only=True, tag=2):
+    """Ask for a digest, since an update came of which the sender is not known."""
+
+
+Datagram = Digest | Update | Ask
+
+
 def short_hash(name: str) -> int:
     """Return the 32-bit hash that stands for `name` in digests."""
     return stable_hash(name) & 0xFFFFFFFF
 
 
-def encode_digest(digest: Digest) -> bytes:
-    """Return the datagram of `digest`."""
-    return msgspec.msgpack.encode(digest)
+def hash_names(names: Iterable[str]) -> int:
+    """Return the 32-bit hash of a list of names in order."""
+    return short_hash("\n".join(names))
+
+
+def encode_datagram(message: Datagram) -> bytes:
+    """Return the datagram of `message`."""
+    return msgspec.msgpack.encode(message)
 
 
-def decode_digest(data: bytes) -> Result[Digest, str]:
-    """Return the digest in a datagram, or what is wrong with it."""
+def decode_datagram(data: bytes) -> Result[Datagram, str]:
+    """Return the message in a datagram, or what is wrong with it."""
     try:
-        return Ok(msgspec.msgpack.decode(data, type=Digest))
+        return Ok(msgspec.msgpack.decode(data, type=Datagram))
     except (msgspec.DecodeError, msgspec.ValidationError) as error:
         return Err(str(error))
--- a/pistachiohaven/components/gateway/_peers.py
+++ b/pistachiohaven/components/gateway/_peers.py
@@ -1,30 +1,39 @@
-"""Send and receive the digests between gateways as datagrams."""
+"""Send and receive what gateways tell each other, as datagrams."""
 
 import socket
+from functools import singledispatchmethod
 
 import trio
 from result import Err
 
 from pistachiohaven.components.exchange import (
+    Ask,
+    Datagram,
     Digest,
     Member,
+    PeerEvents,
     RunningAt,
+    Update,
     WaitingAt,
-    decode_digest,
-    encode_digest,
+    decode_datagram,
+    encode_datagram,
+    hash_names,
     short_hash,
 )
 from pistachiohaven.components.exchange.const import (
+    CHANGED_CYCLES,
+    FAN_OUT,
     INTERVAL_MS,
     MAX_DIGEST_BYTES,
-    MEMBERS_EVERY,
+    PREFILL_STEP,
 )
-from pistachiohaven.components.placement import PeerLoad
+from pistachiohaven.components.placement import PeerLoad, TargetLoad
 from pistachiohaven.const import MS_PER_S
 
 from ._state import GatewayState
 
 US_PER_MS = 1_000
+MAX_BYTE = 255
 
 
 class PeerLink:
@@ -33,36 +42,54 @@
     def __init__(self, *, state: GatewayState, sock: socket.socket) -> None:
         self._state = state
         self._sequence = 0
+        self._asked: set[str] = set()
+        self._used: dict[int, int] = {}
+        self._used_changed: dict[int, int] = {}
         self._socket = trio.socket.from_stdlib_socket(sock)
 
     async def run(self) -> None:
-        """Exchange digests for ever."""
+        """Exchange datagrams for ever."""
         async with trio.open_nursery() as nursery:
             nursery.start_soon(self._receive)
             while True:
                 await self._tell()
                 await trio.sleep(INTERVAL_MS / 2 / MS_PER_S)
 
+    # Sending
+
     async def _tell(self) -> None:
         state = self._state
         now_ms = state.clock.now_ms()
-        peers = state.exchange.recipients(now_ms=now_ms)
-        if not peers:
+        recipients = state.exchange.recipients(now_ms=now_ms)
+        if not recipients:
             return
         state.quota.expect_peers(state.exchange.entry_count() - 1)
         self._sequence += 1
-        data = encode_digest(self._digest(now_ms=now_ms))
-        for peer in peers:
-            host, _, port = peer.member.address.rpartition(":")
-            try:
-                await self._socket.sendto(data, (host, int(port)))
-            except OSError as error:
-                state.log.info(
-                    "digest_not_sent", peer=peer.member.address, error=str(error)
-                )
-        state.exchange.sent(len(data) * len(peers), now_ms=now_ms)
+        self._note_used()
+        update = b""
+        sent_bytes = 0
+        for recipient in recipients:
+            if recipient.whole:
+                data = encode_datagram(self._digest(now_ms=now_ms))
+            else:
+                data = update = update or encode_datagram(self._update())
+            sent_bytes += len(data)
+            await self._send(data, recipient.peer.member.address)
+        asked, self._asked = self._asked, set()
+        for address in asked:
+            data = encode_datagram(Ask())
+            sent_bytes += len(data)
+            await self._send(data, address)
+        state.exchange.sent(sent_bytes, now_ms=now_ms)
         state.metrics.live_peers.set(len(state.exchange.live(now_ms=now_ms)))
 
+    async def _send(self, data: bytes, address: str) -> None:
+        host, _, port = address.rpartition(":")
+        try:
+            await self._socket.sendto(data, (host, int(port)))
+        except OSError as error:
+            self._state.log.info("digest_not_sent", peer=address, error=str(error))
+
     def _digest(self, *, now_ms: int) -> Digest:
         state = self._state
         settings = state.settings
@@ -74,7 +101,7 @@
             uptime_ms=now_ms - state.started_ms,
             leaving=state.leaving_since_ms is not None,
             revision=state.catalogue.revision,
-            members=self._members(now_ms=now_ms),
+            members=state.exchange.members_to_tell(now_ms=now_ms),
             running=tuple(
                 RunningAt(
                     target=short_hash(load.target.name),
@@ -86,17 +113,49 @@
                 for load in state.scheduler.loads()
                 if load.own_running or load.own_token_ms
             ),
-            waiting=tuple(
-                WaitingAt(pool=short_hash(pool), rank=rank, count=count)
-                for pool, rank, count in state.scheduler.waiting_by_rank()
-            ),
-            used_tokens=state.quota.used(),
+            waiting=self._waiting(),
+            used_tokens=self._used,
         )
 
-    def _members(self, *, now_ms: int) -> tuple[Member, ...]:
-        if self._sequence % MEMBERS_EVERY:
-            return ()
-        return self._state.exchange.members_to_tell(now_ms=now_ms)
+    def _update(self) -> Update:
+        state = self._state
+        loads = self._ordered_loads()
+        cycles = CHANGED_CYCLES * state.exchange.cycle_rounds()
+        return Update(
+            sender=short_hash(state.incarnation),
+            sequence=self._sequence,
+            leaving=state.leaving_since_ms is not None,
+            revision=state.catalogue.revision,
+            targets=hash_names(load.target.name for load in loads),
+            running=bytes(min(load.own_running, MAX_BYTE) for load in loads),
+            prefill=bytes(_prefill_steps(load) for load in loads),
+            waiting=self._waiting(),
+            used_tokens={
+                name: self._used[name]
+                for name, changed in self._used_changed.items()
+                if self._sequence - changed <= cycles and name in self._used
+            },
+        )
+
+    def _ordered_loads(self) -> list[TargetLoad]:
+        loads = self._state.scheduler.loads()
+        return sorted(loads, key=lambda load: load.target.name)
+
+    def _waiting(self) -> tuple[WaitingAt, ...]:
+        return tuple(
+            WaitingAt(pool=short_hash(pool), rank=rank, count=count)
+            for pool, rank, count in self._state.scheduler.waiting_by_rank()
+        )
+
+    def _note_used(self) -> None:
+        """Note which organisations have used tokens since the last round."""
+        used = self._state.quota.used()
+        for name, tokens in used.items():
+            if tokens != self._used.get(name):
+                self._used_changed[name] = self._sequence
+        self._used = used
+
+    # Receiving
 
     async def _receive(self) -> None:
         while True:
@@ -105,48 +164,102 @@
             except OSError as error:
                 self._state.log.info("digest_not_received", error=str(error))
                 continue
-            decoded = decode_digest(data)
+            decoded = decode_datagram(data)
             if isinstance(decoded, Err):
                 self._state.log.info(
                     "digest_unreadable", sender=str(sender), error=decoded.err_value
                 )
                 continue
-            self._take(decoded.ok_value)
+            self._take(decoded.ok_value, f"{sender[0]}:{sender[1]}")
 
-    def _take(self, digest: Digest) -> None:
+    @singledispatchmethod
+    def _take(self, message: Datagram, address: str) -> None:
+        """Take in what the gateway at `address` told."""
+        raise TypeError(f"no such message: {message!r}")
+
+    @_take.register
+    def _(self, message: Digest, address: str) -> None:
         state = self._state
         now_ms = state.clock.now_ms()
-        events = state.exchange.take(digest, now_ms=now_ms)
+        events = state.exchange.take(message, now_ms=now_ms)
         for incarnation in events.ended:
             state.quota.drop_peer(incarnation)
             state.scheduler.drop_peer(incarnation)
         if not events.fresh:
             return
+        told = {at.target: at for at in message.running}
+        for load in state.scheduler.loads():
+            at = told.get(short_hash(load.target.name))
+            if at is None:
+                load.drop_peer(message.incarnation)
+            else:
+                load.take_peer(message.incarnation, _peer_load(at, now_ms=now_ms))
+        self._take_rest(message, events, uptime_ms=message.uptime_ms)
+
+    @_take.register
+    def _(self, message: Ask, address: str) -> None:
+        self._state.exchange.needs_digest(address)
+
+    @_take.register
+    def _(self, message: Update, address: str) -> None:
+        state = self._state
+        now_ms = state.clock.now_ms()
+        events = state.exchange.take_update(message, now_ms=now_ms)
+        peer = events.peer
+        if peer is None or not state.quota.knows(peer.incarnation):
+            if len(self._asked) < FAN_OUT:
+                self._asked.add(address)
+            return
+        if not events.fresh:
+            return
+        incarnation = peer.incarnation
+        loads = self._ordered_loads()
+        if message.targets == hash_names(load.target.name for load in loads):
+            told = zip(loads, message.running, message.prefill, strict=False)
+            for load, running, steps in told:
+                load.update_peer(
+                    incarnation,
+                    running=running,
+                    prefill_tokens=steps * PREFILL_STEP,
+                    now_ms=now_ms,
+                )
+        self._take_rest(message, events)
+
+    def _take_rest(
+        self, message: Digest | Update, events: PeerEvents, *, uptime_ms: int = 0
+    ) -> None:
+        """Take in what digests and updates have in common.
+
+        `uptime_ms` of the sender matters only for one whose use is not known yet.
+        """
+        peer = events.peer
+        if peer is None:
+            return
+        state = self._state
+        now_ms = state.clock.now_ms()
         if events.regained:
             state.log.info(
-                "peer_regained", peer=digest.sender.name, revision=digest.revision
+                "peer_regained", peer=peer.member.name, revision=message.revision
             )
         state.quota.take_peer(
-            digest.incarnation,
-            digest.used_tokens,
-            uptime_ms=digest.uptime_ms,
-            now_ms=now_ms,
+            peer.incarnation, message.used_tokens, uptime_ms=uptime_ms, now_ms=now_ms
         )
-        told = {at.target: at for at in digest.running}
-        for load in state.scheduler.loads():
-            at = told.get(short_hash(load.target.name))
-            if at is None:
-                load.drop_peer(digest.incarnation)
-                continue
-            peer_load = PeerLoad(
-                running=at.running,
-                prefill_tokens=at.prefill_tokens,
-                token_ms=at.token_us / US_PER_MS or None,
-                prefill_rate=at.prefill_tokens_per_s / MS_PER_S or None,
-                at_ms=now_ms,
-            )
-            load.take_peer(digest.incarnation, peer_load)
-        waiting = [(at.pool, at.rank, at.count) for at in digest.waiting]
-        state.scheduler.take_peer_waiting(digest.incarnation, waiting, now_ms=now_ms)
+        waiting = [(at.pool, at.rank, at.count) for at in message.waiting]
+        state.scheduler.take_peer_waiting(peer.incarnation, waiting, now_ms=now_ms)
         if state.scheduler.waiting():
             state.placer.pump()
+
+
+def _prefill_steps(load: TargetLoad) -> int:
+    """Return the prompt tokens that wait at a target, in steps rounded up."""
+    return min(-(-load.own_prefill_tokens() // PREFILL_STEP), MAX_BYTE)
+
+
+def _peer_load(at: RunningAt, *, now_ms: int) -> PeerLoad:
+    return PeerLoad(
+        running=at.running,
+        prefill_tokens=at.prefill_tokens,
+        token_ms=at.token_us / US_PER_MS or None,
+        prefill_rate=at.prefill_tokens_per_s / MS_PER_S or None,
+        at_ms=now_ms,
+    )
--- a/pistachiohaven/components/placement/_load.py
+++ b/pistachiohaven/components/placement/_load.py
@@ -91,6 +91,21 @@
         """Take in what `peer` has running here."""
         self._peers[peer] = load
 
+    def update_peer(
+        self, peer: str, *, running: int, prefill_tokens: int, now_ms: int
+    ) -> None:
+        """Take in what `peer` has running here now; its pace stays as told before."""
+        known = self._peers.get(peer)
+        if known is None and not running:
+            return
+        self._peers[peer] = PeerLoad(
+            running=running,
+            prefill_tokens=prefill_tokens,
+            token_ms=known.token_ms if known else None,
+            prefill_rate=known.prefill_rate if known else None,
+            at_ms=now_ms,
+        )
+
     def drop_peer(self, peer: str) -> None:
         """Forget what `peer` had running here."""
         self._peers.pop(peer, None)
--- a/pistachiohaven/components/quota/_core.py
+++ b/pistachiohaven/components/quota/_core.py
@@ -141,11 +141,16 @@
         """Take in how many other entries may be at work, heard of or not."""
         self._expected = count
 
+    def knows(self, peer: str) -> bool:
+        """Return True if the incarnation `peer` has reported its whole use."""
+        return peer in self._peers
+
     def take_peer(
         self, peer: str, used: dict[int, int], *, uptime_ms: int, now_ms: int
     ) -> None:
         """Draw what `peer` (one incarnation of an entry) used since its last report.
 
+        Organisations that the report leaves out have used nothing more.
         Of a peer that is new here, the part is drawn that falls into one window if it
         used its tokens evenly over its `uptime_ms`.
         """
@@ -155,12 +160,13 @@
         if known is None:
             known = self._peers[peer] = _Peer(heard_ms=now_ms)
             share = min(self._window_ms / max(uptime_ms, 1), 1.0)
+        used = {**known.used, **used}
         for name, bucket in self._buckets.items():
             hashed = short_hash(name)
             spent = (used.get(hashed, 0) - known.used.get(hashed, 0)) * share
             owed = spent - known.advance.get(hashed, 0.0)
             bucket.level = min(bucket.level - owed, bucket.burst)
-        known.used = dict(used)
+        known.used = used
         known.advance.clear()
         known.silent = False
         known.heard_ms = now_ms
--- a/tests/components/exchange/test_core.py
+++ b/tests/components/exchange/test_core.py
@@ -1,16 +1,21 @@
 """Test what gateways tell each other."""
 
+import itertools
 import random
 
+import pytest
 from result import Err
 
 from pistachiohaven.components.exchange import (
+    Ask,
     Digest,
     Exchange,
     Member,
     RunningAt,
-    decode_digest,
-    encode_digest,
+    Update,
+    decode_datagram,
+    encode_datagram,
+    hash_names,
     short_hash,
 )
 from pistachiohaven.components.exchange.const import (
@@ -19,7 +24,9 @@
     FORGET_MS,
     INTERVAL_MS,
     LIVE_MS,
+    UPDATES_PER_DIGEST,
 )
+from pistachiohaven.components.quota.const import SILENT_MS
 
 
 def digest(
@@ -54,12 +61,12 @@
         prefill_tokens_per_s=60_000,
     )
     sent = digest("1", running=(running,), used_tokens={7: 100})
-    assert decode_digest(encode_digest(sent)).ok_value == sent
+    assert decode_datagram(encode_datagram(sent)).ok_value == sent
 
 
 def test_foreign_datagrams_are_refused() -> None:
-    for data in (b"", b"\x00", b"hello", encode_digest(digest("1"))[:-3]):
-        assert isinstance(decode_digest(data), Err)
+    for data in (b"", b"\x00", b"hello", encode_datagram(digest("1"))[:-3]):
+        assert isinstance(decode_datagram(data), Err)
 
 
 def test_old_and_repeated_digests_change_nothing() -> None:
@@ -133,3 +140,93 @@
             exchange.sent(100, now_ms=now_ms)
             rounds += 1
     assert rounds == 1_000 // INTERVAL_MS
+
+
+def update(
+    name: str, *, sequence: int = 2, incarnation: str = "1", **changes: object
+) -> Update:
+    fields: dict[str, object] = {
+        "sender": short_hash(f"{name}-{incarnation}"),
+        "sequence": sequence,
+        "leaving": False,
+        "revision": 0,
+        "targets": hash_names(["i-1", "i-2"]),
+        "running": bytes([3, 0]),
+        "prefill": bytes([4, 0]),
+        "waiting": (),
+        "used_tokens": {},
+    }
+    return Update(**{**fields, **changes})  # type: ignore[arg-type]
+
+
+def test_updates_and_questions_survive_the_wire() -> None:
+    for sent in (update("1", used_tokens={7: 100}), Ask()):
+        assert decode_datagram(encode_datagram(sent)).ok_value == sent
+
+
+def test_an_update_keeps_its_sender_live_and_newer_ones_replace_older() -> None:
+    exchange = make_exchange()
+    exchange.take(digest("1"), now_ms=0)
+    events = exchange.take_update(update("1", sequence=3, revision=8), now_ms=LIVE_MS)
+    assert events.fresh
+    assert events.regained
+    assert not exchange.take_update(update("1", sequence=3), now_ms=LIVE_MS).fresh
+    assert [peer.revision for peer in exchange.live(now_ms=LIVE_MS + 1)] == [8]
+
+
+def test_an_update_of_an_unknown_incarnation_changes_nothing() -> None:
+    exchange = make_exchange("10.0.0.1:7600")
+    exchange.take(digest("1"), now_ms=0)
+    events = exchange.take_update(update("1", incarnation="2"), now_ms=1)
+    assert (events.fresh, events.peer) == (False, None)
+
+
+def told_whole(exchange: Exchange) -> bool:
+    (recipient,) = exchange.recipients(now_ms=2)
+    return recipient.whole
+
+
+def test_a_new_incarnation_and_one_that_asks_get_the_whole_state() -> None:
+    exchange = make_exchange()
+    exchange.take(digest("1"), now_ms=0)
+    assert told_whole(exchange)
+    assert not told_whole(exchange)
+    exchange.needs_digest("10.0.0.1:7600")
+    assert told_whole(exchange)
+    exchange.take(digest("1", incarnation="2"), now_ms=1)
+    assert told_whole(exchange)
+    assert [told_whole(exchange) for _ in range(UPDATES_PER_DIGEST)].count(True) == 0
+    assert told_whole(exchange)
+
+
+INTRODUCED_MS = 5_000
+"""Time in which a started entry has told each of 23 peers its whole state."""
+
+
+@pytest.mark.parametrize("entries", [5, 20, 24])
+def test_every_peer_is_told_at_even_times(entries: int) -> None:
+    """At the size of the grown sites a peer hears twice a second within the budget."""
+    exchange = make_exchange()
+    peers = [str(number) for number in range(1, entries)]
+    told_ms: dict[str, list[int]] = {}
+    largest = 0
+    for now_ms in range(0, 20_000, 10):
+        for name in peers:
+            exchange.take(digest(name, sequence=now_ms), now_ms=now_ms)
+        sent = 0
+        for recipient in exchange.recipients(now_ms=now_ms):
+            sent += 600 if recipient.whole else 170
+            address = recipient.peer.member.address
+            told_ms.setdefault(address, []).append(now_ms)
+        if sent:
+            exchange.sent(sent, now_ms=now_ms)
+    for times in told_ms.values():
+        gaps = [
+            later - earlier
+            for earlier, later in itertools.pairwise(times)
+            if earlier > INTRODUCED_MS
+        ]
+        largest = max(largest, *gaps)
+    assert largest <= LIVE_MS / 2
+    if entries <= 20:
+        assert largest <= SILENT_MS
--- a/tests/components/placement/test_scheduler.py
+++ b/tests/components/placement/test_scheduler.py
@@ -309,3 +309,15 @@
     assert scheduler.has_alternative(placed.job, placed.target, now_ms=1_000)
     load.heard(now_ms=1_100)
     assert load.has_room(now_ms=1_100)
+
+
+def test_a_failed_target_is_tried_again_beside_others_that_are_full() -> None:
+    scheduler = make_scheduler(target("a", slots=1), target("b", slots=1))
+    fill(scheduler, 2)
+    load = scheduler.load("a")
+    assert load is not None
+    load.silent(now_ms=0)
+    end(scheduler, "fill-0", now_ms=0)
+    load.silent(now_ms=0)
+    scheduler.submit(job("next", at_ms=SUSPECT_MS), now_ms=SUSPECT_MS)
+    assert placed(scheduler, now_ms=SUSPECT_MS) == ["next"]
