Leave each free place to one of the gateways whose work is as urgent

Cause: every gateway with waiting work saw the same free place when an update of its peer came and took it.

Change: a place that came free here is used again from here while peers can't know of it. Any other free place goes to the first of the entries with work as urgent in a rendezvous order of the target. Nothing changes while no peer has waiting work.

--- a/pistachiohaven/components/gateway/_state.py
+++ b/pistachiohaven/components/gateway/_state.py
@@ -38,7 +38,7 @@
         self.incarnation = make_uuid7(wall_ms=clock.wall_ms(), rng=self.rng)
         self.catalogue = Catalogue()
         self.targets = TargetList()
-        self.scheduler = Scheduler()
+        self.scheduler = Scheduler(name=self.incarnation)
         self.placer = Placer(scheduler=self.scheduler, clock=clock)
         self.silence_watch = SilenceWatch(clock=clock)
         self.quota = QuotaLedger(
--- a/pistachiohaven/components/placement/_load.py
+++ b/pistachiohaven/components/placement/_load.py
@@ -1,6 +1,6 @@
 """Estimate how busy and how fast one target is."""
 
-from collections import OrderedDict
+from collections import OrderedDict, deque
 from dataclasses import dataclass
 
 from pistachiohaven.components.fleet import Target
@@ -20,6 +20,7 @@
     LEARN_SHARE,
     MIN_SAMPLE_EVENTS,
     MIN_SAMPLE_TOKENS,
+    OWN_FREED_MS,
     PEER_LOAD_MS,
     SPEED_BOUNDS,
     SUSPECT_MAX_MS,
@@ -65,6 +66,7 @@
         self._failures_in_row = 0
         self._excluded_until_ms = 0
         self._proving = False
+        self._freed_ms: deque[int] = deque()
 
     # Facts
 
@@ -153,6 +155,18 @@
             return self.own_running == 0
         return self.running(now_ms=now_ms) < self.target.slots
 
+    def free(self, *, now_ms: int) -> int:
+        """Return how many requests could start at once."""
+        if not self.has_room(now_ms=now_ms):
+            return 0
+        return self.target.slots - self.running(now_ms=now_ms)
+
+    def own_freed(self, *, now_ms: int) -> int:
+        """Return the places that came free here so lately that no peer may know."""
+        while self._freed_ms and now_ms - self._freed_ms[0] >= OWN_FREED_MS:
+            self._freed_ms.popleft()
+        return len(self._freed_ms)
+
     def usable(self, *, now_ms: int) -> bool:
         """Return True if the target is neither leaving nor left out."""
         return not self.target.leaving and now_ms >= self._excluded_until_ms
@@ -187,6 +201,8 @@
         """Note that `job` was sent here."""
         tokens = self._uncached(job, now_ms=now_ms)
         alone = self.own_prefill_tokens() == 0
+        if self._freed_ms:
+            self._freed_ms.popleft()
         self._running[job.request_id] = _Running(
             job=job, sent_ms=now_ms, prefill_tokens=tokens, alone=alone
         )
@@ -209,6 +225,7 @@
     def ended(self, request_id: str, *, events: int, tokens: int, now_ms: int) -> None:
         """Note that a request was answered whole; `tokens` were generated."""
         running = self._running.pop(request_id, None)
+        self._freed_ms.append(now_ms)
         self._failures_in_row = 0
         self._proving = False
         self._failed.add(0.0)
--- a/pistachiohaven/components/placement/_scheduler.py
+++ b/pistachiohaven/components/placement/_scheduler.py
@@ -6,7 +6,7 @@
 from pistachiohaven.components.exchange import short_hash
 from pistachiohaven.components.fleet import Pool, Target
 from pistachiohaven.core import Reason
-from pistachiohaven.helpers import Ewma
+from pistachiohaven.helpers import Ewma, rendezvous_order
 
 from ._job import Decision, Job, Place, Refuse
 from ._load import PeerLoad, TargetLoad
@@ -36,7 +36,8 @@
     every later request late too.
     """
 
-    def __init__(self) -> None:
+    def __init__(self, *, name: str = "") -> None:
+        self._name = name
         self._loads: dict[str, TargetLoad] = {}
         self._gone: set[str] = set()
         self._pools: dict[str, Pool] = {}
@@ -200,12 +201,44 @@
         loads = [
             load
             for load in self._in_pool(job.pool)
-            if load.target.name not in job.excluded and load.has_room(now_ms=now_ms)
+            if load.target.name not in job.excluded
+            and self._may_claim(load, job, now_ms=now_ms)
         ]
         return min(
             loads, key=lambda load: load.expected_ms(job, now_ms=now_ms), default=None
         )
 
+    def _may_claim(self, load: TargetLoad, job: Job, *, now_ms: int) -> bool:
+        """Return True if `job` may take a place of a target that has room.
+
+        Peers with work as urgent see the same free places, each at its own time. A
+        place that came free here is this entry's; of the others, each is left to one
+        entry with waiting work, in an order that all of them work out alike.
+        """
+        free = load.free(now_ms=now_ms)
+        if free <= 0:
+            return False
+        rivals = self._rivals(job, now_ms=now_ms)
+        if not rivals:
+            return True
+        own = load.own_freed(now_ms=now_ms)
+        if own:
+            return True
+        order = rendezvous_order(load.target.name, [*rivals, self._name])
+        return order.index(self._name) < free
+
+    def _rivals(self, job: Job, *, now_ms: int) -> list[str]:
+        """Return the entries where work as urgent as `job` waits for the pool."""
+        hashed = short_hash(job.pool)
+        return [
+            name
+            for name, peer in self._peer_waiting.items()
+            if now_ms - peer.at_ms < PEER_WAITING_MS
+            and any(
+                pool == hashed and rank <= job.rank for pool, rank, _ in peer.waiting
+            )
+        ]
+
     def _place(self, job: Job, load: TargetLoad, *, now_ms: int) -> Place:
         place = Place(
             job=job,
@@ -244,11 +277,7 @@
 
     def _free_slots(self, pool: str, *, now_ms: int) -> int:
         """Return how many requests the targets of `pool` could start at once."""
-        return sum(
-            load.target.slots - load.running(now_ms=now_ms)
-            for load in self._in_pool(pool)
-            if load.has_room(now_ms=now_ms)
-        )
+        return sum(load.free(now_ms=now_ms) for load in self._in_pool(pool))
 
     def _peers_ahead(self, pool: str, rank: int, *, now_ms: int) -> int:
         """Return how many requests more urgent than `rank` wait at other entries."""
--- a/pistachiohaven/components/placement/const.py
+++ b/pistachiohaven/components/placement/const.py
@@ -62,8 +62,18 @@
 HOLD_CHECK_SHARE: Final = 0.25
 """Part of a caller's patience before which a waiting request is not checked again."""
 
-PEER_WAITING_MS: Final = 500
-"""Age at which a peer's report of what waits there no longer counts."""
+PEER_WAITING_MS: Final = 900
+"""Age at which a peer's report of what waits there no longer counts.
+
+Half as long again as 20 entries take to tell all their peers.
+"""
+
+OWN_FREED_MS: Final = 300
+"""Time in which a place that came free here is used again only from here.
+
+Half of what 20 entries take to tell all their peers: on average, they do not know of
+it yet.
+"""
 
 RANK_SHARE: Final = 0.02
 """Weight of the newest placement in the share of more urgent ones; 50 placements."""
