Use standard terms for gossip, shedding thresholds and tombstones

The entry and sidecar parts read in terms of their own: spread, news, floor, bury. Component spread is now gossip, FloorNews ThresholdUpdate, ShedFloor ShedThreshold, the control path /control/floor /control/threshold, and what a sidecar remembers of a refusal a tombstone everywhere.

--- a/benchmarks/core.py
+++ b/benchmarks/core.py
@@ -8,6 +8,7 @@
 
 from pistachiohaven.components.admission import Admission
 from pistachiohaven.components.dispatch import Claim, DispatchRecord, KeyHome
+from pistachiohaven.components.gossip import Gossip, Sync
 from pistachiohaven.components.measure._spread import make_fleet_tree
 from pistachiohaven.components.measure._table import Table
 from pistachiohaven.components.membership import ListRead, ListVersion, Membership
@@ -16,7 +17,6 @@
 from pistachiohaven.components.routing._view import TargetView
 from pistachiohaven.components.settings import SettingsStore, difference
 from pistachiohaven.components.sidecar import SidecarCore
-from pistachiohaven.components.spread import Spread, Sync
 from pistachiohaven.core import Instance, Reason, Work
 from pistachiohaven.helpers import make_uuid7
 
@@ -159,10 +159,10 @@
     """Time what a node does for one comparison with a peer."""
     membership = make_membership(FLEET)
 
-    def make_node(name: str) -> Spread:
+    def make_node(name: str) -> Gossip:
         store = SettingsStore()
         store.accept_tree(make_fleet_tree(1))
-        return Spread(
+        return Gossip(
             name=name,
             data_centre="dc-1",
             settings=store,
@@ -174,8 +174,8 @@
 
     def compare(_number: int) -> None:
         sync = decode(encode(Sync(known=asker.known())), Sync).unwrap()
-        news = asked.take_sync(sync)
-        asker.take_news(decode(encode(news), type(news)).unwrap())
+        update = asked.take_sync(sync)
+        asker.take_update(decode(encode(update), type(update)).unwrap())
 
     table.add(
         "compare with a peer, both sides, us", f"{microseconds(compare, 500):.0f}"
@@ -220,7 +220,7 @@
     table.add("remembered key at its home, bytes", f"{bytes_each(claim, 3_000):.0f}")
     record = DispatchRecord()
 
-    def bury(number: int) -> None:
+    def add_tombstone(number: int) -> None:
         record.refuse(
             dispatch_id=f"org/{keys[number]}",
             request_id=keys[number],
@@ -230,7 +230,7 @@
             now_ms=0,
         )
 
-    table.add("remembered request, bytes", f"{bytes_each(bury, 3_000):.0f}")
+    table.add("remembered request, bytes", f"{bytes_each(add_tombstone, 3_000):.0f}")
     admission = Admission()
     admission.offer(make_work(0), now_ms=0)
 
--- a/pistachiohaven/components/admission/__init__.py
+++ b/pistachiohaven/components/admission/__init__.py
@@ -2,20 +2,20 @@
 
 from ._core import Admission
 from ._effects import Dispatch, Effect, Preempt, Refuse
-from ._floor import NO_FLOOR, FloorNews, ShedFloor
 from ._limit import EngineLimit
 from ._queue import TierQueue, cost_tokens
+from ._threshold import NO_THRESHOLD, ShedThreshold, ThresholdUpdate
 
 __all__ = [
-    "NO_FLOOR",
+    "NO_THRESHOLD",
     "Admission",
     "Dispatch",
     "Effect",
     "EngineLimit",
-    "FloorNews",
     "Preempt",
     "Refuse",
-    "ShedFloor",
+    "ShedThreshold",
+    "ThresholdUpdate",
     "TierQueue",
     "cost_tokens",
 ]
--- a/pistachiohaven/components/admission/_core.py
+++ b/pistachiohaven/components/admission/_core.py
@@ -6,10 +6,10 @@
 from pistachiohaven.core import Reason, Work
 
 from ._effects import Dispatch, Effect, Preempt, Refuse
-from ._floor import FloorNews, ShedFloor
 from ._limit import EngineLimit, InUse, decode_cost
 from ._queue import TierQueue, Waiting, cost_tokens
 from ._rate import RateMeter
+from ._threshold import ShedThreshold, ThresholdUpdate
 from .const import (
     DECREASE_PAUSE_MS,
     LEAST_WAIT_SHARE,
@@ -56,8 +56,8 @@
         self.running: dict[str, Running] = {}
         self._rate = RateMeter()
         self._held_until_ms = [0] * TIER_COUNT
-        self._shed_here = ShedFloor()
-        self.floor = ShedFloor()
+        self._shed_here = ShedThreshold()
+        self.threshold = ShedThreshold()
 
     # What is in hand
 
@@ -112,7 +112,7 @@
     def _held_back(self, rank: int, now_ms: int) -> bool:
         """Return True if more urgent work was lately refused here or in the pool."""
         refused_here = self._shed_here.refuses(rank, now_ms=now_ms)
-        return refused_here or self.floor.refuses(rank, now_ms=now_ms)
+        return refused_here or self.threshold.refuses(rank, now_ms=now_ms)
 
     def _push(self, work: Work, now_ms: int) -> None:
         allowance_ms = self._allowance_ms(work)
@@ -128,13 +128,13 @@
         least_ms = int(work.max_queue_ms * LEAST_WAIT_SHARE)
         return min(work.max_queue_ms, max(left_ms, least_ms))
 
-    def raise_floor(self, news: FloorNews, *, now_ms: int) -> list[Effect]:
+    def raise_threshold(self, update: ThresholdUpdate, *, now_ms: int) -> list[Effect]:
         """Take in that more urgent work was refused somewhere in the pool."""
-        if not self.floor.raise_to(news, now_ms=now_ms):
+        if not self.threshold.raise_to(update, now_ms=now_ms):
             return []
         return [
             self._refuse(waiting, Reason.EVICTED)
-            for waiting in self.queue.below(news.rank)
+            for waiting in self.queue.below(update.rank)
             if not self._lower_running(waiting.work.rank)
         ]
 
@@ -360,7 +360,7 @@
 
     def _evict_below(self, rank: int, now_ms: int) -> list[Refuse]:
         """Refuse all waiting work less urgent than `rank`, and more for a while."""
-        hold = FloorNews(rank=rank, left_ms=SHED_HOLD_MS)
+        hold = ThresholdUpdate(rank=rank, left_ms=SHED_HOLD_MS)
         self._shed_here.raise_to(hold, now_ms=now_ms)
         return [
             self._refuse(waiting, Reason.EVICTED) for waiting in self.queue.below(rank)
--- a/pistachiohaven/components/entry/_app.py
+++ b/pistachiohaven/components/entry/_app.py
@@ -351,7 +351,7 @@
         self.metrics.list_version.set(node.membership.version)
         self.metrics.control_bytes.set(node.control_bytes)
         self.metrics.platform_reads.set(node.platform.reads)
-        self.metrics.stale_reads.set(node.spread.stale_reads)
+        self.metrics.stale_reads.set(node.gossip.stale_reads)
 
     def _status(self) -> Status:
         now_ms = self._node.clock.now_ms()
--- a/pistachiohaven/components/entry/_exchange.py
+++ b/pistachiohaven/components/entry/_exchange.py
@@ -9,7 +9,7 @@
 import xxhash
 from result import Err, Ok, Result
 
-from pistachiohaven.components.admission import FloorNews
+from pistachiohaven.components.admission import ThresholdUpdate
 from pistachiohaven.components.dispatch import Claim, Key, Ticket
 from pistachiohaven.components.node import Node
 from pistachiohaven.components.peer import (
@@ -26,7 +26,7 @@
 )
 from pistachiohaven.components.peer import const as wire
 from pistachiohaven.components.routing import Router
-from pistachiohaven.components.routing.const import FLOOR_MS
+from pistachiohaven.components.routing.const import THRESHOLD_MS
 from pistachiohaven.components.web import CallError, call
 from pistachiohaven.const import MS_PER_S
 from pistachiohaven.core import Instance, Reason
@@ -193,8 +193,8 @@
 
     @perform.register
     async def _(self, action: SendLook) -> Event:
-        news = FloorNews(rank=self._intake.work.rank, left_ms=FLOOR_MS)
-        body = encode(news)
+        update = ThresholdUpdate(rank=self._intake.work.rank, left_ms=THRESHOLD_MS)
+        body = encode(update)
         with trio.move_on_after(LOOK_TIMEOUT_MS / MS_PER_S):
             async with trio.open_nursery() as nursery:
                 for sidecar in action.sidecars:
@@ -204,7 +204,7 @@
     async def _look(self, sidecar: str, body: bytes) -> None:
         address = self._address(sidecar)
         if address is not None:
-            await self._ask(address, wire.FLOOR_PATH, body, Report)
+            await self._ask(address, wire.THRESHOLD_PATH, body, Report)
 
     async def abandon(self) -> None:
         """Tell the sidecar that the caller left."""
@@ -350,7 +350,7 @@
             attempt=attempt,
             incarnation=incarnation,
             stamp_ms=self._intake.received_wall_ms,
-            floor=self._router.floor(self._intake.work.pool).news(
+            threshold=self._router.threshold(self._intake.work.pool).update(
                 now_ms=self._node.clock.now_ms()
             ),
         )
--- a/pistachiohaven/components/entry/_request.py
+++ b/pistachiohaven/components/entry/_request.py
@@ -13,7 +13,7 @@
 )
 from pistachiohaven.components.retry import RetryBudgets
 from pistachiohaven.components.routing import Lower, Router, TargetView
-from pistachiohaven.core import NOT_BURIED, Outcome, Reason, Work
+from pistachiohaven.core import NO_TOMBSTONE, Outcome, Reason, Work
 
 from ._steps import (
     Action,
@@ -127,7 +127,7 @@
         offer = self._current()
         self._last_refusal = event
         self._note_refusal(offer, event.reason, now_ms=now_ms)
-        if event.reason in NOT_BURIED:
+        if event.reason in NO_TOMBSTONE:
             return Finish(outcome=Outcome.UNKNOWN, reason=event.reason)
         return self._next_target(now_ms=now_ms, release=Release.REFUSED)
 
@@ -250,8 +250,8 @@
         Once this rank finds no room, targets with less urgent work go first; after
         the last look only they are left, those that refused before the look too.
         """
-        floor = self._router.floor(self.work.pool)
-        shed = floor.refuses(self.work.rank, now_ms=now_ms)
+        threshold = self._router.threshold(self.work.pool)
+        shed = threshold.refuses(self.work.rank, now_ms=now_ms)
         lower = Lower.FIRST if shed or self._tried else Lower.ANY
         if self._look_ms is not None:
             lower = Lower.ONLY
@@ -268,8 +268,8 @@
             return Reason.DEADLINE
         if view is None or view.lowest_held > self.work.rank:
             return None
-        floor = self._router.floor(self.work.pool)
-        if floor.refuses(self.work.rank, now_ms=now_ms):
+        threshold = self._router.threshold(self.work.pool)
+        if threshold.refuses(self.work.rank, now_ms=now_ms):
             return Reason.OVERLOAD
         if not self._attempts:
             return None
--- /dev/null
+++ b/pistachiohaven/components/gossip/__init__.py
@@ -0,0 +1,6 @@
+"""Pass on what the platform publishes from node to node."""
+
+from ._core import Gossip, push_of
+from ._models import FullTree, GossipUpdate, Known, Sync
+
+__all__ = ["FullTree", "Gossip", "GossipUpdate", "Known", "Sync", "push_of"]
--- a/pistachiohaven/components/spread/_core.py
+++ b/pistachiohaven/components/gossip/_core.py
@@ -18,7 +18,7 @@
 from pistachiohaven.core import Instance
 from pistachiohaven.helpers import rendezvous_order
 
-from ._models import FullTree, Known, News, Sync
+from ._models import FullTree, GossipUpdate, Known, Sync
 from .const import (
     FANOUT,
     LIST_VERSIONS_KEPT,
@@ -30,7 +30,7 @@
 )
 
 
-class Spread:
+class Gossip:
     """Know what this node has, what peers have, and what to tell whom.
 
     All times named `wall_ms` are wall times; revisions and list versions only rise.
@@ -119,7 +119,7 @@
         drawn = self._rng.sample(everyone, min(count + 1, len(everyone)))
         return [item for item in drawn if item.name != self._name][:count]
 
-    def news_for(self, known: Known) -> News:
+    def update_for(self, known: Known) -> GossipUpdate:
         """Return what the node that `known` describes lacks."""
         store = self._settings
         delta = None
@@ -128,7 +128,7 @@
             delta = store.delta_since(known.revision)
             if delta is None:
                 tree = FullTree(revision=store.revision, nodes=store.tree.nodes)
-        return News(
+        return GossipUpdate(
             known=self.known(),
             delta=delta,
             tree=tree,
@@ -141,32 +141,32 @@
             return ()
         return tuple(item for item in self._list_log if item.version > version)
 
-    def take_sync(self, sync: Sync) -> News:
+    def take_sync(self, sync: Sync) -> GossipUpdate:
         """Answer a peer's comparison, first taking in what it brought."""
         self._heard(sync.known)
-        if sync.news is not None:
-            self._take_parts(sync.news)
-        return self.news_for(sync.known)
+        if sync.update is not None:
+            self._take_parts(sync.update)
+        return self.update_for(sync.known)
 
     def behind(self, known: Known) -> bool:
         """Return True if the node that `known` describes has something newer."""
         newer_settings = known.revision > self._settings.revision
         return newer_settings or known.list_version > self._membership.version
 
-    def take_news(self, news: News) -> bool:
+    def take_update(self, update: GossipUpdate) -> bool:
         """Take in a peer's answer; return True if anything was new here."""
-        self._heard(news.known)
-        return self._take_parts(news)
+        self._heard(update.known)
+        return self._take_parts(update)
 
-    def _take_parts(self, news: News) -> bool:
+    def _take_parts(self, update: GossipUpdate) -> bool:
         """Take in what is newer, then the stamps that belong to it."""
         before = (self._settings.revision, self._membership.version)
-        if news.delta is not None:
-            self._settings.accept_delta(news.delta)
-        if news.tree is not None:
-            tree = make_tree(revision=news.tree.revision, nodes=news.tree.nodes)
+        if update.delta is not None:
+            self._settings.accept_delta(update.delta)
+        if update.tree is not None:
+            tree = make_tree(revision=update.tree.revision, nodes=update.tree.nodes)
             self._settings.accept_tree(tree)
-        peer = news.known
+        peer = update.known
         if (peer.revision, peer.digest) == (
             self._settings.revision,
             self._settings.digest,
@@ -174,17 +174,19 @@
             self._settings_as_of_ms = max(
                 self._settings_as_of_ms, peer.settings_as_of_ms
             )
-        self._take_versions(news)
+        self._take_versions(update)
         return before != (self._settings.revision, self._membership.version)
 
-    def _take_versions(self, news: News) -> None:
+    def _take_versions(self, update: GossipUpdate) -> None:
         """Take in list versions, and the stamp if nothing up to it is missing."""
         mine = self._membership.version
-        peer = news.known
-        reaches = bool(news.versions) and news.versions[-1].version == peer.list_version
+        peer = update.known
+        reaches = (
+            bool(update.versions) and update.versions[-1].version == peer.list_version
+        )
         if mine == peer.list_version or reaches:
             read = ListRead(
-                versions=news.versions, as_of_ms=peer.list_as_of_ms, snapshot=False
+                versions=update.versions, as_of_ms=peer.list_as_of_ms, snapshot=False
             )
             if read.as_of_ms >= self._membership.as_of_ms:
                 self.take_list(read)
@@ -247,6 +249,6 @@
         self._peers_heard[name] = False
 
 
-def push_of(spread: Spread, *, since: Known) -> Sync:
+def push_of(spread: Gossip, *, since: Known) -> Sync:
     """Return the message that brings peers what is new here since `since`."""
-    return Sync(known=spread.known(), news=spread.news_for(since))
+    return Sync(known=spread.known(), update=spread.update_for(since))
--- a/pistachiohaven/components/spread/_models.py
+++ b/pistachiohaven/components/gossip/_models.py
@@ -28,7 +28,7 @@
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
-class News:
+class GossipUpdate:
     """Carry what a peer lacks; absent parts are not newer here."""
 
     known: Known
@@ -42,4 +42,4 @@
     """Compare with a peer, and bring it what the sender just learnt."""
 
     known: Known
-    news: News | None = None
+    update: GossipUpdate | None = None
--- a/pistachiohaven/components/spread/const.py
+++ b/pistachiohaven/components/gossip/const.py
@@ -12,10 +12,10 @@
 """Nodes of a data centre that watch the platform for the others."""
 
 WATCH_WAIT_MS: Final = 5_000
-"""How long one watch call waits for news."""
+"""How long one watch call waits for a change."""
 
 STALE_AFTER_MS: Final = 30_000
-"""Age of the newest news after which any node may read the platform itself."""
+"""Age of the newest change after which any node may read the platform itself."""
 
 STALE_READ_PAUSE_MS: Final = 45_000
 """Mean time between two such reads of one node."""
--- a/pistachiohaven/components/measure/_fakes.py
+++ b/pistachiohaven/components/measure/_fakes.py
@@ -221,9 +221,9 @@
         self._tell(request_id, _ended_answer(request_id, Stage.FINISHED, None))
         self._carry_out([item for item in effects if not isinstance(item, Known)])
 
-    def _tell(self, request_id: str, news: object) -> None:
+    def _tell(self, request_id: str, update: object) -> None:
         for listener in self._listeners.pop(request_id, []):
-            listener(news)
+            listener(update)
 
 
 def _ended_answer(request_id: str, stage: Stage, reason: Reason | None) -> StageAnswer:
--- a/pistachiohaven/components/measure/_spread.py
+++ b/pistachiohaven/components/measure/_spread.py
@@ -5,11 +5,11 @@
 from dataclasses import replace
 from functools import partial
 
+from pistachiohaven.components.gossip import Gossip, GossipUpdate, Sync, push_of
+from pistachiohaven.components.gossip.const import SYNC_INTERVAL_MS, WATCH_WAIT_MS
 from pistachiohaven.components.membership import ListRead, ListVersion, Membership
 from pistachiohaven.components.peer import encode
 from pistachiohaven.components.settings import Overrides, SettingsStore, Tree, make_tree
-from pistachiohaven.components.spread import News, Spread, Sync, push_of
-from pistachiohaven.components.spread.const import SYNC_INTERVAL_MS, WATCH_WAIT_MS
 from pistachiohaven.const import MS_PER_S
 from pistachiohaven.core import Instance
 
@@ -59,7 +59,7 @@
         self.hops = 0
         self.reached_ms: dict[int, int] = {}
         self._fleet = fleet
-        self.spread = Spread(
+        self.gossip = Gossip(
             name=instance.name,
             data_centre=instance.data_centre,
             settings=self.store,
@@ -72,7 +72,7 @@
         platform = self._fleet.platform
         platform.reads += 1
         wall_ms = START_WALL_MS + self._fleet.events.now_ms
-        self.spread.take_settings(platform.tree, as_of_ms=wall_ms)
+        self.gossip.take_settings(platform.tree, as_of_ms=wall_ms)
 
     # Watching
 
@@ -90,9 +90,9 @@
 
     def watch_answered(self) -> None:
         """Take in the answer of a watch, and watch again."""
-        before = self.spread.known()
+        before = self.gossip.known()
         wall_ms = START_WALL_MS + self._fleet.events.now_ms
-        self.spread.take_settings(self._fleet.platform.tree, as_of_ms=wall_ms)
+        self.gossip.take_settings(self._fleet.platform.tree, as_of_ms=wall_ms)
         self._after(before.revision, hops=0)
         self.watch()
 
@@ -100,12 +100,12 @@
 
     def compare(self) -> None:
         """Compare with a random peer now and then."""
-        self._sync(Sync(known=self.spread.known()))
+        self._sync(Sync(known=self.gossip.known()))
         pause_ms = SYNC_INTERVAL_MS * (0.5 + self._fleet.rng.random())
         self._fleet.events.after(int(pause_ms), self.compare)
 
     def _sync(self, sync: Sync, peers: int = 1) -> None:
-        for peer in self.spread.choose_peers(peers):
+        for peer in self.gossip.choose_peers(peers):
             self._send(sync, peer.name)
 
     def _send(self, sync: Sync, peer: str) -> None:
@@ -116,17 +116,17 @@
     def asked(self, sync: Sync, asker: str, hops: int) -> None:
         """Answer a peer's comparison."""
         before = self.store.revision
-        news = self.spread.take_sync(sync)
+        update = self.gossip.take_sync(sync)
         self._after(before, hops=hops + 1)
-        self.sent_bytes += len(encode(news)) + HTTP_BYTES // 2
-        if self.spread.behind(sync.known):
-            self._send(Sync(known=self.spread.known()), asker)
-        self._fleet.later(partial(self._fleet.nodes[asker].answered, news, self.hops))
+        self.sent_bytes += len(encode(update)) + HTTP_BYTES // 2
+        if self.gossip.behind(sync.known):
+            self._send(Sync(known=self.gossip.known()), asker)
+        self._fleet.later(partial(self._fleet.nodes[asker].answered, update, self.hops))
 
-    def answered(self, news: News, hops: int) -> None:
+    def answered(self, update: GossipUpdate, hops: int) -> None:
         """Take in a peer's answer."""
         before = self.store.revision
-        self.spread.take_news(news)
+        self.gossip.take_update(update)
         self._after(before, hops=hops + 1)
 
     def _after(self, before: int, *, hops: int) -> None:
@@ -136,8 +136,8 @@
             return
         self.hops = hops
         self.reached_ms[revision] = self._fleet.events.now_ms
-        since = self.spread.known()
-        self._sync(push_of(self.spread, since=replace(since, revision=before)), peers=4)
+        since = self.gossip.known()
+        self._sync(push_of(self.gossip, since=replace(since, revision=before)), peers=4)
 
 
 class Fleet:
@@ -167,7 +167,7 @@
         """Run two edits to their end."""
         for node in self.nodes.values():
             self.events.after(self.rng.randint(0, SYNC_INTERVAL_MS), node.compare)
-            if node.spread.is_watcher():
+            if node.gossip.is_watcher():
                 node.watch()
         for at_ms, revision in ((EDIT_MS, 2), (SECOND_EDIT_MS, LAST_REVISION)):
             tree = make_fleet_tree(revision)
--- a/pistachiohaven/components/measure/_traffic.py
+++ b/pistachiohaven/components/measure/_traffic.py
@@ -4,7 +4,12 @@
 from dataclasses import dataclass, field
 from functools import partial
 
-from pistachiohaven.components.admission import Dispatch, FloorNews, Preempt, Refuse
+from pistachiohaven.components.admission import (
+    Dispatch,
+    Preempt,
+    Refuse,
+    ThresholdUpdate,
+)
 from pistachiohaven.components.entry._request import RequestCore
 from pistachiohaven.components.entry._steps import (
     Action,
@@ -19,7 +24,7 @@
 from pistachiohaven.components.peer import OfferFacts
 from pistachiohaven.components.retry import RetryBudgets
 from pistachiohaven.components.routing import Policy, PredictivePolicy, Router
-from pistachiohaven.components.routing.const import FLOOR_MS
+from pistachiohaven.components.routing.const import THRESHOLD_MS
 from pistachiohaven.components.sidecar import SidecarCore
 from pistachiohaven.components.sidecar._core import Effect
 from pistachiohaven.const import MS_PER_S, NO_RANK, TIER_COUNT
@@ -117,10 +122,10 @@
         effects = self.core.offer(facts, now_ms=now_ms, wall_ms=START_WALL_MS + now_ms)
         self._carry_out(effects)
 
-    def raise_floor(self, news: FloorNews) -> None:
+    def raise_threshold(self, update: ThresholdUpdate) -> None:
         """Take in that a rank found no room."""
         now_ms = self._traffic.events.now_ms
-        self._carry_out(self.core.raise_floor(news, now_ms=now_ms))
+        self._carry_out(self.core.raise_threshold(update, now_ms=now_ms))
 
     def step(self) -> None:
         """Let the engine work and the core look at the clock."""
@@ -255,7 +260,9 @@
                 attempt=action.attempt,
                 incarnation=action.incarnation,
                 stamp_ms=START_WALL_MS + flight.arrival.at_ms,
-                floor=flight.router.floor(POOL).news(now_ms=self.events.now_ms),
+                threshold=flight.router.threshold(POOL).update(
+                    now_ms=self.events.now_ms
+                ),
             )
             target = self._targets[action.sidecar]
             self.events.after(HOP_MS, partial(target.offer, facts))
@@ -272,7 +279,7 @@
         """Tell a target of a rank without room, and take its report back."""
         rank = flight.arrival.work.rank
         target = self._targets[name]
-        target.raise_floor(FloorNews(rank=rank, left_ms=FLOOR_MS))
+        target.raise_threshold(ThresholdUpdate(rank=rank, left_ms=THRESHOLD_MS))
         now_ms = self.events.now_ms
         report = target.core.report(now_ms=now_ms)
         deliver = partial(flight.router.take_report, report, measured_ms=now_ms)
--- a/pistachiohaven/components/measure/_tries.py
+++ b/pistachiohaven/components/measure/_tries.py
@@ -250,23 +250,25 @@
         def arrive() -> None:
             if sidecar.alive:
                 sidecar.offer(
-                    facts, self._job, lambda news: self._hear(sidecar.name, step, news)
+                    facts,
+                    self._job,
+                    lambda update: self._hear(sidecar.name, step, update),
                 )
 
         self._history.network.send(self._entry.name, sidecar.name, arrive)
         self._later(step, Silent(), 4 * PATIENCE_MS)
 
-    def _hear(self, sidecar: str, step: int, news: object) -> None:
+    def _hear(self, sidecar: str, step: int, update: object) -> None:
         """Send back what a sidecar said of an offer."""
         event: Event = AnswerGone()
-        if isinstance(news, Refuse):
-            event = Refused(reason=news.reason, retry_after_ms=news.retry_after_ms)
-        elif isinstance(news, Known):
-            event = AlreadyKnown(request_id=news.request_id, stage=news.stage)
-        elif isinstance(news, StageAnswer) and news.stage is Stage.FINISHED:
+        if isinstance(update, Refuse):
+            event = Refused(reason=update.reason, retry_after_ms=update.retry_after_ms)
+        elif isinstance(update, Known):
+            event = AlreadyKnown(request_id=update.request_id, stage=update.stage)
+        elif isinstance(update, StageAnswer) and update.stage is Stage.FINISHED:
             event = Whole()
-        elif isinstance(news, StageAnswer):
-            event = Staged(answer=news)
+        elif isinstance(update, StageAnswer):
+            event = Staged(answer=update)
         self._reply(sidecar, step, event)
 
     def _withdraw(self, action: SendWithdraw, *, tries: int) -> None:
@@ -296,7 +298,7 @@
                 self._reply(sidecar.name, step, AnswerGone())
                 return
             sidecar.resume(
-                action.request_id, lambda news: self._hear(sidecar.name, step, news)
+                action.request_id, lambda update: self._hear(sidecar.name, step, update)
             )
 
         self._history.network.send(self._entry.name, sidecar.name, arrive)
--- a/pistachiohaven/components/node/_node.py
+++ b/pistachiohaven/components/node/_node.py
@@ -10,6 +10,8 @@
 import trio
 from result import Err, Ok
 
+from pistachiohaven.components.gossip import Gossip, GossipUpdate, Known, Sync, push_of
+from pistachiohaven.components.gossip.const import SYNC_INTERVAL_MS, WATCH_WAIT_MS
 from pistachiohaven.components.lifecycle import Lifecycle
 from pistachiohaven.components.membership import Membership
 from pistachiohaven.components.peer import decode, encode
@@ -24,8 +26,6 @@
     SettingsStore,
     parse_tree,
 )
-from pistachiohaven.components.spread import Known, News, Spread, Sync, push_of
-from pistachiohaven.components.spread.const import SYNC_INTERVAL_MS, WATCH_WAIT_MS
 from pistachiohaven.components.web import CallError, call, make_pool
 from pistachiohaven.config import NodeSettings
 from pistachiohaven.const import MS_PER_S
@@ -46,7 +46,7 @@
     """Read one document of the platform; False means it could not be read."""
 
     async def __call__(self, *, wait_ms: int) -> bool:
-        """Read, waiting up to `wait_ms` for news."""
+        """Read, waiting up to `wait_ms` for a change."""
 
 
 class Node:
@@ -70,7 +70,7 @@
         self.pool: httpcore.AsyncConnectionPool = make_pool()
         self.store = SettingsStore()
         self.membership = Membership()
-        self.spread = Spread(
+        self.gossip = Gossip(
             name=settings.name,
             data_centre=settings.data_centre,
             settings=self.store,
@@ -130,40 +130,40 @@
         sync = decode(content, Sync)
         if isinstance(sync, Err):
             return None
-        before = self.spread.known()
+        before = self.gossip.known()
         known = sync.ok_value.known
-        news = self.spread.take_sync(sync.ok_value)
+        update = self.gossip.take_sync(sync.ok_value)
         self._after(before)
         asker = self.membership.instance(known.name)
-        if asker is not None and self._nursery and self.spread.behind(known):
+        if asker is not None and self._nursery and self.gossip.behind(known):
             self._nursery.start_soon(self._sync_with, asker, None)
-        return self._counted(encode(news))
+        return self._counted(encode(update))
 
     async def _compare(self) -> None:
         """Compare with one random peer now and then, and pass on what is new."""
         async with trio.open_nursery() as nursery:
-            nursery.start_soon(self._push_news)
+            nursery.start_soon(self._push_update)
             while True:
                 pause_ms = SYNC_INTERVAL_MS * (0.5 + self.rng.random())
                 await trio.sleep(pause_ms / MS_PER_S)
-                for peer in self.spread.choose_peers(1):
+                for peer in self.gossip.choose_peers(1):
                     nursery.start_soon(self._sync_with, peer, None)
 
-    async def _push_news(self) -> None:
+    async def _push_update(self) -> None:
         """Tell a few peers at once whenever something is new here."""
-        told = self.spread.known()
+        told = self.gossip.known()
         async with trio.open_nursery() as nursery:
             while True:
                 await self._changed.wait()
                 self._changed = trio.Event()
-                since, told = told, self.spread.known()
-                push = push_of(self.spread, since=since)
-                for peer in self.spread.choose_peers():
+                since, told = told, self.gossip.known()
+                push = push_of(self.gossip, since=since)
+                for peer in self.gossip.choose_peers():
                     nursery.start_soon(self._sync_with, peer, push)
 
     async def _sync_with(self, peer: Instance, push: Sync | None) -> None:
         """Exchange what is known with `peer`."""
-        before = self.spread.known()
+        before = self.gossip.known()
         body = self._counted(encode(push or Sync(known=before)))
         reply = await call(
             self.pool,
@@ -174,11 +174,11 @@
         )
         if isinstance(reply, Err):
             if reply.err_value is CallError.REFUSED:
-                self.spread.not_running(peer.name)
+                self.gossip.not_running(peer.name)
             return
-        news = decode(reply.ok_value.body, News)
-        if isinstance(news, Ok):
-            self.spread.take_news(news.ok_value)
+        update = decode(reply.ok_value.body, GossipUpdate)
+        if isinstance(update, Ok):
+            self.gossip.take_update(update.ok_value)
             self._after(before)
 
     def _counted(self, content: bytes) -> bytes:
@@ -202,10 +202,10 @@
         """Watch one document if this node is a watcher, else read it when stale."""
         pause_ms = READ_PAUSE_MS
         while True:
-            watcher = self.spread.is_watcher()
+            watcher = self.gossip.is_watcher()
             now_ms = self.clock.now_ms()
             wall_ms = self.clock.wall_ms()
-            if watcher or self.spread.may_read(now_ms=now_ms, wall_ms=wall_ms):
+            if watcher or self.gossip.may_read(now_ms=now_ms, wall_ms=wall_ms):
                 read_well = await read(wait_ms=WATCH_WAIT_MS if watcher else 0)
                 pause_ms = (
                     READ_PAUSE_MS if read_well else min(2 * pause_ms, READ_PAUSE_MAX_MS)
@@ -220,14 +220,14 @@
         )
         if isinstance(answer, Err):
             return False
-        before = self.spread.known()
+        before = self.gossip.known()
         self._take_settings(answer.ok_value)
         self._after(before)
         return True
 
     def _take_settings(self, answer: SettingsAnswer) -> None:
         if not answer.text:
-            self.spread.same_settings(
+            self.gossip.same_settings(
                 revision=answer.revision, as_of_ms=answer.as_of_ms
             )
             return
@@ -238,7 +238,7 @@
             self.log.info("edit_refused", revision=answer.revision, faults=faults)
             return
         tree = replace(parsed.ok_value, revision=answer.revision)
-        acceptance = self.spread.take_settings(tree, as_of_ms=answer.as_of_ms)
+        acceptance = self.gossip.take_settings(tree, as_of_ms=answer.as_of_ms)
         if acceptance is not Acceptance.SAME:
             self.log.info(
                 "settings_read", revision=answer.revision, acceptance=acceptance
@@ -254,14 +254,14 @@
         return True
 
     def _take_list(self, answer: InstancesAnswer) -> None:
-        before = self.spread.known()
-        effect = self.spread.take_list(answer.list_read())
+        before = self.gossip.known()
+        effect = self.gossip.take_list(answer.list_read())
         self._after(before)
         self.log.info("list_read", version=self.membership.version, effect=effect)
 
     def _after(self, before: Known) -> None:
         """Act on what changed since `before`."""
-        known = self.spread.known()
+        known = self.gossip.known()
         self_listed = self.membership.instance(self.settings.name)
         if self_listed is not None and self_listed.leaving:
             self.leave()
@@ -276,13 +276,13 @@
 
     async def _start_serving(self) -> None:
         """Ask peers until the settings in force are proved current, then serve."""
-        while not self.spread.may_serve():
+        while not self.gossip.may_serve():
             async with trio.open_nursery() as nursery:
-                for peer in self.spread.choose_peers():
+                for peer in self.gossip.choose_peers():
                     nursery.start_soon(self._sync_with, peer, None)
             await trio.sleep(START_PAUSE_MS / MS_PER_S)
         self.lifecycle.serve()
-        self.spread.serving = self.lifecycle.phase is Phase.SERVING
+        self.gossip.serving = self.lifecycle.phase is Phase.SERVING
         self._changed.set()
         self.log.info("serving", revision=self.store.revision)
 
--- a/pistachiohaven/components/peer/_models.py
+++ b/pistachiohaven/components/peer/_models.py
@@ -2,7 +2,7 @@
 
 from dataclasses import dataclass
 
-from pistachiohaven.components.admission import NO_FLOOR, FloorNews
+from pistachiohaven.components.admission import NO_THRESHOLD, ThresholdUpdate
 from pistachiohaven.components.dispatch import Grant, Stage
 from pistachiohaven.core import Phase, Reason, Work
 
@@ -19,7 +19,7 @@
     attempt: int
     incarnation: str
     stamp_ms: int
-    floor: FloorNews = NO_FLOOR
+    threshold: ThresholdUpdate = NO_THRESHOLD
 
     @property
     def dispatch_id(self) -> str:
@@ -62,7 +62,7 @@
     in_hand: int
     revision: int
     list_version: int
-    floor: FloorNews = NO_FLOOR
+    threshold: ThresholdUpdate = NO_THRESHOLD
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
@@ -84,7 +84,7 @@
 
     reason: Reason
     retry_after_ms: int
-    buried: bool
+    tombstoned: bool
     """True if no later copy of this attempt can run on this incarnation."""
 
 
--- a/pistachiohaven/components/peer/const.py
+++ b/pistachiohaven/components/peer/const.py
@@ -8,7 +8,7 @@
 RESUME_PATH: Final = "/control/resume"
 ABANDON_PATH: Final = "/control/abandon"
 CLAIM_PATH: Final = "/control/claim"
-FLOOR_PATH: Final = "/control/floor"
+THRESHOLD_PATH: Final = "/control/threshold"
 REPORT_PATH: Final = "/control/report"
 SYNC_PATH: Final = "/control/sync"
 
--- a/pistachiohaven/components/routing/_core.py
+++ b/pistachiohaven/components/routing/_core.py
@@ -5,7 +5,7 @@
 from dataclasses import dataclass
 from enum import StrEnum
 
-from pistachiohaven.components.admission import FloorNews, ShedFloor
+from pistachiohaven.components.admission import ShedThreshold, ThresholdUpdate
 from pistachiohaven.components.membership import Membership, choose_subset
 from pistachiohaven.components.membership.const import SUBSET_SIZE
 from pistachiohaven.components.peer import Report
@@ -14,7 +14,7 @@
 from ._policies import Choice, Policy, PredictivePolicy, choose
 from ._prefixes import PrefixMap
 from ._view import TargetView
-from .const import FLOOR_MS
+from .const import THRESHOLD_MS
 
 
 class Lower(StrEnum):
@@ -51,7 +51,7 @@
         self._views: dict[str, TargetView] = {}
         self._pools: dict[str, list[TargetView]] = {}
         self._prefixes = PrefixMap()
-        self._floors: dict[str, ShedFloor] = {}
+        self._thresholds: dict[str, ShedThreshold] = {}
         self._looks: dict[str, _Look] = {}
         self._turn = 0
 
@@ -94,11 +94,11 @@
             return
         view.take_report(report, measured_ms=measured_ms)
         for pool in view.instance.pools:
-            self.floor(pool).raise_to(report.floor, now_ms=measured_ms)
+            self.threshold(pool).raise_to(report.threshold, now_ms=measured_ms)
 
-    def floor(self, pool: str) -> ShedFloor:
+    def threshold(self, pool: str) -> ShedThreshold:
         """Return what is known of refusals in `pool`."""
-        return self._floors.setdefault(pool, ShedFloor())
+        return self._thresholds.setdefault(pool, ShedThreshold())
 
     def to_look_at(self, work: Work, *, now_ms: int) -> list[TargetView]:
         """Return the targets to ask before `work` is refused, none if just asked.
@@ -114,13 +114,13 @@
 
     def looked(self, work: Work, *, asked_ms: int) -> None:
         """Take in that every target in reach was asked on behalf of `work`."""
-        until_ms = asked_ms + FLOOR_MS
+        until_ms = asked_ms + THRESHOLD_MS
         self._looks[work.pool] = _Look(rank=work.rank, until_ms=until_ms)
 
     def shed(self, work: Work, *, now_ms: int) -> None:
         """Take in that `work` found no room: less urgent work must not start."""
-        news = FloorNews(rank=work.rank, left_ms=FLOOR_MS)
-        self.floor(work.pool).raise_to(news, now_ms=now_ms)
+        update = ThresholdUpdate(rank=work.rank, left_ms=THRESHOLD_MS)
+        self.threshold(work.pool).raise_to(update, now_ms=now_ms)
 
     def pick(
         self,
--- a/pistachiohaven/components/routing/const.py
+++ b/pistachiohaven/components/routing/const.py
@@ -27,5 +27,5 @@
 REPORT_FRESH_MS: Final = 1_000
 """Age up to which a report is trusted to say that a target is saturated."""
 
-FLOOR_MS: Final = 2_000
+THRESHOLD_MS: Final = 2_000
 """How long less urgent work is refused in a pool after a request found no room."""
--- a/pistachiohaven/components/sidecar/_answer.py
+++ b/pistachiohaven/components/sidecar/_answer.py
@@ -38,7 +38,7 @@
         self.base_bytes = 0
         self.readers: dict[int, int] = {}
         self._buffer = bytearray()
-        self._news = trio.Event()
+        self._update = trio.Event()
         self._end = trio.Event()
         self._next_reader = 0
 
@@ -96,7 +96,7 @@
     async def settled(self) -> None:
         """Wait until the answer begins or the request is refused."""
         while self.state is AnswerState.WAITING:
-            await self._news.wait()
+            await self._update.wait()
 
     async def read(self, reader: int) -> bytes:
         """Return the next bytes for `reader`, all there are; empty at the end."""
@@ -109,7 +109,7 @@
                 return chunk
             if self.ended:
                 return b""
-            await self._news.wait()
+            await self._update.wait()
 
     async def gather(self, *, within_ms: int) -> None:
         """Let what comes within a moment gather into one write.
@@ -126,7 +126,7 @@
             slowest = min(self.readers.values())
             if self.end_bytes - slowest < UNREAD_LIMIT_BYTES:
                 return
-            await self._news.wait()
+            await self._update.wait()
 
     def _trim(self) -> None:
         """Drop bytes beyond the buffer that every reader has taken."""
@@ -142,5 +142,5 @@
             self.base_bytes += count
 
     def _wake(self) -> None:
-        news, self._news = self._news, trio.Event()
-        news.set()
+        update, self._update = self._update, trio.Event()
+        update.set()
--- a/pistachiohaven/components/sidecar/_app.py
+++ b/pistachiohaven/components/sidecar/_app.py
@@ -8,7 +8,7 @@
 from prometheus_client import generate_latest
 from result import Err, Ok
 
-from pistachiohaven.components.admission import FloorNews, Refuse
+from pistachiohaven.components.admission import Refuse, ThresholdUpdate
 from pistachiohaven.components.dispatch import Claim, KeyHome
 from pistachiohaven.components.node import Node
 from pistachiohaven.components.node.const import MAX_CONTROL_BYTES
@@ -38,7 +38,7 @@
 )
 from pistachiohaven.components.web.const import BAD_REQUEST, NOT_FOUND, OK
 from pistachiohaven.const import MAX_BODY_BYTES
-from pistachiohaven.core import NOT_BURIED, Phase, Reason
+from pistachiohaven.core import NO_TOMBSTONE, Phase, Reason
 
 from ._answer import Answer, AnswerState
 from ._core import SidecarCore
@@ -85,7 +85,7 @@
             wire.RESUME_PATH: self._resume,
             wire.ABANDON_PATH: self._abandon,
             wire.CLAIM_PATH: self._claim,
-            wire.FLOOR_PATH: self._floor,
+            wire.THRESHOLD_PATH: self._threshold,
             wire.SYNC_PATH: self._sync,
         }
 
@@ -267,12 +267,12 @@
         self._runner.metrics.claims.labels(answer.reason or "granted").inc()
         await self._reply(send, OK, answer)
 
-    async def _floor(self, body: bytes, receive: Receive, send: Send) -> None:
-        news = await self._read(body, FloorNews, send)
-        if news is None:
+    async def _threshold(self, body: bytes, receive: Receive, send: Send) -> None:
+        update = await self._read(body, ThresholdUpdate, send)
+        if update is None:
             return
         now_ms = self._node.clock.now_ms()
-        self._runner.carry_out(self._core.raise_floor(news, now_ms=now_ms))
+        self._runner.carry_out(self._core.raise_threshold(update, now_ms=now_ms))
         await self._reply(send, OK, self._report())
 
     async def _sync(self, body: bytes, receive: Receive, send: Send) -> None:
@@ -302,7 +302,7 @@
         message = RefusalMessage(
             reason=reason,
             retry_after_ms=retry_after_ms,
-            buried=reason not in NOT_BURIED,
+            tombstoned=reason not in NO_TOMBSTONE,
         )
         await self._reply(send, wire.STATUS_REFUSED, message)
 
@@ -323,7 +323,7 @@
 
 def _gone(reason: Reason) -> RefusalMessage:
     """Say that a dispatched request has no answer to send, and why."""
-    return RefusalMessage(reason=reason, retry_after_ms=0, buried=False)
+    return RefusalMessage(reason=reason, retry_after_ms=0, tombstoned=False)
 
 
 async def _watch_reader(receive: Receive, scope: trio.CancelScope) -> None:
--- a/pistachiohaven/components/sidecar/_core.py
+++ b/pistachiohaven/components/sidecar/_core.py
@@ -3,9 +3,9 @@
 from pistachiohaven.components.admission import (
     Admission,
     Dispatch,
-    FloorNews,
     Preempt,
     Refuse,
+    ThresholdUpdate,
 )
 from pistachiohaven.components.admission import Effect as AdmissionEffect
 from pistachiohaven.components.dispatch import (
@@ -64,9 +64,9 @@
             ]
         reason = self.lifecycle.refusal()
         if reason is not None:
-            self._bury(facts, reason, now_ms=now_ms)
+            self._add_tombstone(facts, reason, now_ms=now_ms)
             return [self._decline(facts, reason)]
-        effects = self.raise_floor(facts.floor, now_ms=now_ms)
+        effects = self.raise_threshold(facts.threshold, now_ms=now_ms)
         self.record.admit(
             dispatch_id=facts.dispatch_id,
             request_id=facts.work.request_id,
@@ -88,10 +88,10 @@
             return StageAnswer(request_id=request_id, stage=None)
         entry = self.record.find(facts.dispatch_id)
         if entry is None or entry.stage is Stage.REFUSED:
-            self._bury(facts, Reason.WITHDRAWN, now_ms=now_ms)
+            self._add_tombstone(facts, Reason.WITHDRAWN, now_ms=now_ms)
         elif entry.stage is Stage.QUEUED and entry.request_id == request_id:
             self.admission.withdraw(request_id)
-            self._bury(facts, Reason.WITHDRAWN, now_ms=now_ms)
+            self._add_tombstone(facts, Reason.WITHDRAWN, now_ms=now_ms)
         return self._stage(facts.dispatch_id, request_id)
 
     def stage(self, facts: OfferFacts) -> StageAnswer:
@@ -110,7 +110,7 @@
         if facts is None:
             return []
         if self.admission.withdraw(request_id):
-            self._bury(facts, Reason.CALLER_LEFT, now_ms=now_ms)
+            self._add_tombstone(facts, Reason.CALLER_LEFT, now_ms=now_ms)
             return []
         if request_id not in self.admission.running or not facts.work.idempotent:
             return []
@@ -155,9 +155,9 @@
         effects = self.admission.ended(request_id, tokens=0, whole=False, now_ms=now_ms)
         return [self._decline(facts, reason), *self._apply(effects, now_ms)]
 
-    def raise_floor(self, news: FloorNews, *, now_ms: int) -> list[Effect]:
+    def raise_threshold(self, update: ThresholdUpdate, *, now_ms: int) -> list[Effect]:
         """Take in that more urgent work was refused somewhere in the pool."""
-        effects = self.admission.raise_floor(news, now_ms=now_ms)
+        effects = self.admission.raise_threshold(update, now_ms=now_ms)
         return self._apply(effects, now_ms)
 
     def tick(self, *, now_ms: int) -> list[Effect]:
@@ -181,7 +181,7 @@
             in_hand=self.admission.in_hand(),
             revision=revision,
             list_version=list_version,
-            floor=self.admission.floor.news(now_ms=now_ms),
+            threshold=self.admission.threshold.update(now_ms=now_ms),
         )
 
     def _apply(self, effects: list[AdmissionEffect], now_ms: int) -> list[Effect]:
@@ -191,7 +191,7 @@
             if isinstance(effect, Dispatch):
                 self.record.dispatch(facts.dispatch_id)
             elif isinstance(effect, Refuse):
-                self._bury(facts, effect.reason, now_ms=now_ms)
+                self._add_tombstone(facts, effect.reason, now_ms=now_ms)
             else:
                 self._end_preempted(facts, now_ms)
         return list(effects)
@@ -205,7 +205,7 @@
             now_ms=now_ms,
         )
 
-    def _bury(self, facts: OfferFacts, reason: Reason, *, now_ms: int) -> None:
+    def _add_tombstone(self, facts: OfferFacts, reason: Reason, *, now_ms: int) -> None:
         """Refuse an attempt and all before it for good."""
         self._offers.pop(facts.work.request_id, None)
         self.record.refuse(
--- a/pistachiohaven/core.py
+++ b/pistachiohaven/core.py
@@ -76,7 +76,7 @@
     INTERNAL = "internal"
 
 
-NOT_BURIED = frozenset({Reason.WRONG_INCARNATION, Reason.OFFER_EXPIRED})
+NO_TOMBSTONE = frozenset({Reason.WRONG_INCARNATION, Reason.OFFER_EXPIRED})
 """Refusals of one copy of an offer; an earlier copy may have been dispatched."""
 
 
--- a/tests/components/admission/test_core.py
+++ b/tests/components/admission/test_core.py
@@ -9,9 +9,9 @@
     Dispatch,
     Effect,
     EngineLimit,
-    FloorNews,
     Preempt,
     Refuse,
+    ThresholdUpdate,
 )
 from pistachiohaven.components.admission.const import MAX_QUEUED, STREAM_TOKENS
 from pistachiohaven.core import Reason
@@ -180,8 +180,8 @@
 
     @rule(rank=st.integers(0, 2))
     def refused_elsewhere(self, rank: int) -> None:
-        news = FloorNews(rank=rank, left_ms=500)
-        self.take(self.admission.raise_floor(news, now_ms=self.now_ms))
+        update = ThresholdUpdate(rank=rank, left_ms=500)
+        self.take(self.admission.raise_threshold(update, now_ms=self.now_ms))
 
     @rule(wait_ms=st.sampled_from([1, 100, 700]))
     def wait(self, wait_ms: int) -> None:
--- a/tests/components/spread/test_core.py
+++ b/tests/components/gossip/test_core.py
@@ -4,6 +4,7 @@
 
 import pytest
 
+from pistachiohaven.components.gossip import Gossip, Known, Sync, push_of
 from pistachiohaven.components.measure._spread import Fleet
 from pistachiohaven.components.membership import ListRead, ListVersion, Membership
 from pistachiohaven.components.settings import (
@@ -13,7 +14,6 @@
     Tree,
     make_tree,
 )
-from pistachiohaven.components.spread import Known, Spread, Sync, push_of
 from tests.work import make_instance
 
 STARTED_MS = 1_000_000_000
@@ -25,13 +25,13 @@
     return make_tree(revision=revision, nodes={"": Overrides(max_tokens=revision)})
 
 
-def make_node(name: str) -> Spread:
+def make_node(name: str) -> Gossip:
     membership = Membership()
     changed = tuple(make_instance(item) for item in NAMES)
     version = ListVersion(version=1, published_ms=STARTED_MS, changed=changed)
     read = ListRead(versions=(version,), as_of_ms=STARTED_MS, snapshot=True)
     membership.take_read(read)
-    return Spread(
+    return Gossip(
         name=name,
         data_centre="dc-1",
         settings=SettingsStore(),
@@ -40,8 +40,8 @@
     )
 
 
-def meet(asker: Spread, asked: Spread) -> None:
-    asker.take_news(asked.take_sync(Sync(known=asker.known())))
+def meet(asker: Gossip, asked: Gossip) -> None:
+    asker.take_update(asked.take_sync(Sync(known=asker.known())))
 
 
 def test_stale_platform_does_not_take_a_node_back() -> None:
