--- a/pistachiohaven/components/entry/_exchange.py
+++ b/pistachiohaven/components/entry/_exchange.py
@@ -40,11 +40,11 @@
     ClaimLost,
     ClaimRefused,
     Event,
-    Looked,
     NotSent,
+    Polled,
     SendClaim,
-    SendLook,
     SendOffer,
+    SendPoll,
     SendResume,
     SendWithdraw,
     Silent,
@@ -192,16 +192,16 @@
         return Staged(answer=None)
 
     @perform.register
-    async def _(self, action: SendLook) -> Event:
+    async def _(self, action: SendPoll) -> Event:
         update = ThresholdUpdate(rank=self._intake.work.rank, left_ms=THRESHOLD_MS)
         body = encode(update)
         with trio.move_on_after(LOOK_TIMEOUT_MS / MS_PER_S):
             async with trio.open_nursery() as nursery:
                 for sidecar in action.sidecars:
-                    nursery.start_soon(self._look, sidecar, body)
-        return Looked()
+                    nursery.start_soon(self._poll, sidecar, body)
+        return Polled()
 
-    async def _look(self, sidecar: str, body: bytes) -> None:
+    async def _poll(self, sidecar: str, body: bytes) -> None:
         address = self._address(sidecar)
         if address is not None:
             await self._ask(address, wire.THRESHOLD_PATH, body, Report)
--- a/pistachiohaven/components/entry/_intake.py
+++ b/pistachiohaven/components/entry/_intake.py
@@ -31,7 +31,7 @@
 
 
 class ChatMessage(msgspec.Struct, frozen=True):
-    """Hold one message of a chat; only its text is looked at."""
+    """Hold one message of a chat; only its text is read."""
 
     content: str = ""
 
--- a/pistachiohaven/components/entry/_request.py
+++ b/pistachiohaven/components/entry/_request.py
@@ -23,12 +23,12 @@
     ClaimRefused,
     Finish,
     Granted,
-    Looked,
     NotSent,
+    Polled,
     Refused,
     SendClaim,
-    SendLook,
     SendOffer,
+    SendPoll,
     SendResume,
     SendWithdraw,
     Silent,
@@ -74,8 +74,8 @@
         self._released = 0
         self._claimed_ms = 0
         self._gave_up = False
-        self._look_ms: int | None = None
-        self._look_release: Release | None = None
+        self._poll_ms: int | None = None
+        self._poll_release: Release | None = None
         self._last_refusal = Refused(
             reason=Reason.NO_TARGET, retry_after_ms=DEFAULT_RETRY_AFTER_MS
         )
@@ -195,11 +195,11 @@
         )
 
     @handle.register
-    def _(self, event: Looked, *, now_ms: int) -> Action:
-        asked_ms = now_ms if self._look_ms is None else self._look_ms
-        self._router.looked(self.work, asked_ms=asked_ms)
+    def _(self, event: Polled, *, now_ms: int) -> Action:
+        asked_ms = now_ms if self._poll_ms is None else self._poll_ms
+        self._router.polled(self.work, asked_ms=asked_ms)
         self._tried = []
-        return self._next_target(now_ms=now_ms, release=self._look_release)
+        return self._next_target(now_ms=now_ms, release=self._poll_release)
 
     @handle.register
     def _(self, event: Whole, *, now_ms: int) -> Action:
@@ -248,12 +248,12 @@
         """Return the next target.
 
         Once this rank finds no room, targets with less urgent work go first; after
-        the last look only they are left, those that refused before the look too.
+        the last poll only they are left, those that refused before the poll too.
         """
         threshold = self._router.threshold(self.work.pool)
         shed = threshold.refuses(self.work.rank, now_ms=now_ms)
         lower = Lower.FIRST if shed or self._tried else Lower.ANY
-        if self._look_ms is not None:
+        if self._poll_ms is not None:
             lower = Lower.ONLY
         return self._router.pick(
             self.work, tried=self._tried, lower=lower, now_ms=now_ms
@@ -325,9 +325,9 @@
     ) -> Action:
         """End a request that did not run; a key's home has to agree first."""
         if FULL_REASONS & {reason, self._last_refusal.reason}:
-            look = self._last_look(release, now_ms=now_ms)
-            if look is not None:
-                return look
+            poll = self._last_poll(release, now_ms=now_ms)
+            if poll is not None:
+                return poll
             self._router.shed(self.work, now_ms=now_ms)
         if self._key is None:
             return self._not_run(reason)
@@ -337,16 +337,16 @@
         self._gave_up = True
         return self._send_claim(NOBODY, "", release, now_ms=now_ms)
 
-    def _last_look(self, release: Release | None, *, now_ms: int) -> SendLook | None:
+    def _last_poll(self, release: Release | None, *, now_ms: int) -> SendPoll | None:
         """Return a look at all targets, if that is due before a refusal."""
-        if self._look_ms is not None or self._time_up:
+        if self._poll_ms is not None or self._time_up:
             return None
-        views = self._router.to_look_at(self.work, now_ms=now_ms)
+        views = self._router.to_poll(self.work, now_ms=now_ms)
         if not views:
             return None
-        self._look_ms = now_ms
-        self._look_release = release
-        return SendLook(sidecars=tuple(view.instance.name for view in views))
+        self._poll_ms = now_ms
+        self._poll_release = release
+        return SendPoll(sidecars=tuple(view.instance.name for view in views))
 
     def _not_run(self, reason: Reason) -> Finish:
         """Finish a request that is proved not to have run."""
--- a/pistachiohaven/components/entry/_steps.py
+++ b/pistachiohaven/components/entry/_steps.py
@@ -47,7 +47,7 @@
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
-class SendLook:
+class SendPoll:
     """Ask targets what they hold and tell them that this rank finds no room."""
 
     sidecars: tuple[str, ...]
@@ -62,7 +62,7 @@
     retry_after_ms: int = 0
 
 
-Action = SendClaim | SendOffer | SendWithdraw | SendResume | SendLook | Finish
+Action = SendClaim | SendOffer | SendWithdraw | SendResume | SendPoll | Finish
 
 # Events: what the entry learnt about the last action.
 
@@ -132,7 +132,7 @@
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
-class Looked:
+class Polled:
     """The targets in reach have answered."""
 
 
@@ -152,6 +152,6 @@
     | Staged
     | AnswerGone
     | TimeUp
-    | Looked
+    | Polled
     | Whole
 )
--- a/pistachiohaven/components/measure/_traffic.py
+++ b/pistachiohaven/components/measure/_traffic.py
@@ -15,10 +15,10 @@
     Action,
     Event,
     Finish,
-    Looked,
+    Polled,
     Refused,
-    SendLook,
     SendOffer,
+    SendPoll,
 )
 from pistachiohaven.components.membership import ListRead, ListVersion, Membership
 from pistachiohaven.components.peer import OfferFacts
@@ -37,8 +37,8 @@
 
 POOL = "draft"
 HOP_MS = 1
-LOOK_MS = 3 * HOP_MS
-"""Time after which every answer to a look has come."""
+POLL_MS = 3 * HOP_MS
+"""Time after which every answer to a poll has come."""
 
 DRAIN_MS = 60_000
 """Time after the last arrival in which running work may end."""
@@ -89,7 +89,7 @@
     prefill_wasted: float = 0.0
     inversions: int = 0
     offers: int = 0
-    looks: int = 0
+    polls: int = 0
     organisations: dict[str, int] = field(default_factory=dict)
 
     def wasted_share(self) -> float:
@@ -266,16 +266,16 @@
             )
             target = self._targets[action.sidecar]
             self.events.after(HOP_MS, partial(target.offer, facts))
-        elif isinstance(action, SendLook):
-            self.outcomes.looks += len(action.sidecars)
+        elif isinstance(action, SendPoll):
+            self.outcomes.polls += len(action.sidecars)
             for name in action.sidecars:
-                self.events.after(HOP_MS, partial(self._look, flight, name))
-            done = partial(self._learn, flight, Looked())
-            self.events.after(LOOK_MS, done)
+                self.events.after(HOP_MS, partial(self._poll, flight, name))
+            done = partial(self._learn, flight, Polled())
+            self.events.after(POLL_MS, done)
         elif isinstance(action, Finish) and action.outcome is Outcome.NOT_RUN:
             self._give_up(flight)
 
-    def _look(self, flight: _Flight, name: str) -> None:
+    def _poll(self, flight: _Flight, name: str) -> None:
         """Tell a target of a rank without room, and take its report back."""
         rank = flight.arrival.work.rank
         target = self._targets[name]
--- a/pistachiohaven/components/measure/_tries.py
+++ b/pistachiohaven/components/measure/_tries.py
@@ -23,12 +23,12 @@
     Event,
     Finish,
     Granted,
-    Looked,
     NotSent,
+    Polled,
     Refused,
     SendClaim,
-    SendLook,
     SendOffer,
+    SendPoll,
     SendResume,
     SendWithdraw,
     Silent,
@@ -60,7 +60,7 @@
 """Size of a request, such that a fake target runs few at once."""
 
 MAX_QUEUE_MS = 400
-LOOK_MS = 20
+POLL_MS = 20
 RECOVERY_TRIES = 3
 """Times an entry asks again before it gives up on an answer."""
 
@@ -147,8 +147,8 @@
             self._offer(action)
         elif isinstance(action, SendWithdraw):
             self._withdraw(action, tries=RECOVERY_TRIES)
-        elif isinstance(action, SendLook):
-            self._later(self._step, Looked(), LOOK_MS)
+        elif isinstance(action, SendPoll):
+            self._later(self._step, Polled(), POLL_MS)
         else:
             self._resume(action)
 
--- a/pistachiohaven/components/routing/_core.py
+++ b/pistachiohaven/components/routing/_core.py
@@ -26,7 +26,7 @@
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
-class _Look:
+class _Poll:
     """Hold for whom the targets of a pool were asked, and how long that counts."""
 
     rank: int
@@ -52,7 +52,7 @@
         self._pools: dict[str, list[TargetView]] = {}
         self._prefixes = PrefixMap()
         self._thresholds: dict[str, ShedThreshold] = {}
-        self._looks: dict[str, _Look] = {}
+        self._polls: dict[str, _Poll] = {}
         self._turn = 0
 
     def view(self, name: str) -> TargetView | None:
@@ -100,22 +100,22 @@
         """Return what is known of refusals in `pool`."""
         return self._thresholds.setdefault(pool, ShedThreshold())
 
-    def to_look_at(self, work: Work, *, now_ms: int) -> list[TargetView]:
+    def to_poll(self, work: Work, *, now_ms: int) -> list[TargetView]:
         """Return the targets to ask before `work` is refused, none if just asked.
 
-        A look makes its targets refuse less urgent work while it counts, so what it
+        A poll makes its targets refuse less urgent work while it counts, so what it
         found about such work stays true.
         """
-        look = self._looks.get(work.pool)
-        if look and look.rank <= work.rank and now_ms < look.until_ms:
+        poll = self._polls.get(work.pool)
+        if poll and poll.rank <= work.rank and now_ms < poll.until_ms:
             return []
         views = self._pools.get(work.pool, ())
         return [view for view in views if not view.suspected]
 
-    def looked(self, work: Work, *, asked_ms: int) -> None:
+    def polled(self, work: Work, *, asked_ms: int) -> None:
         """Take in that every target in reach was asked on behalf of `work`."""
         until_ms = asked_ms + THRESHOLD_MS
-        self._looks[work.pool] = _Look(rank=work.rank, until_ms=until_ms)
+        self._polls[work.pool] = _Poll(rank=work.rank, until_ms=until_ms)
 
     def shed(self, work: Work, *, now_ms: int) -> None:
         """Take in that `work` found no room: less urgent work must not start."""
--- a/tests/components/entry/test_request.py
+++ b/tests/components/entry/test_request.py
@@ -18,12 +18,12 @@
     ClaimLost,
     Finish,
     Granted,
-    Looked,
     NotSent,
+    Polled,
     Refused,
     SendClaim,
-    SendLook,
     SendOffer,
+    SendPoll,
     SendResume,
     SendWithdraw,
     Silent,
@@ -78,10 +78,10 @@
     return RequestCore(work=work, key=key, router=router, budgets=budgets)
 
 
-def after_look(core: RequestCore, action: Action, now_ms: int) -> Action:
+def after_poll(core: RequestCore, action: Action, now_ms: int) -> Action:
     """Return what follows a look at the targets, if `action` is one."""
-    if isinstance(action, SendLook):
-        return core.handle(Looked(), now_ms=now_ms)
+    if isinstance(action, SendPoll):
+        return core.handle(Polled(), now_ms=now_ms)
     return action
 
 
@@ -97,8 +97,8 @@
     assert isinstance(second, SendOffer)
     assert (first.sidecar, first.attempt) != (second.sidecar, second.attempt)
     assert first.sidecar != second.sidecar
-    look = core.handle(refused(Reason.OVERLOAD), now_ms=2)
-    end = after_look(core, look, now_ms=3)
+    poll = core.handle(refused(Reason.OVERLOAD), now_ms=2)
+    end = after_poll(core, poll, now_ms=3)
     assert end == Finish(
         outcome=Outcome.NOT_RUN, reason=Reason.OVERLOAD, retry_after_ms=700
     )
@@ -149,8 +149,8 @@
 def test_retry_budget_does_not_bind_while_lower_work_is_known() -> None:
     spent = make_core(share=0.0)
     spent.start(now_ms=0)
-    look = spent.handle(refused(Reason.OVERLOAD), now_ms=1)
-    end = after_look(spent, look, now_ms=1)
+    poll = spent.handle(refused(Reason.OVERLOAD), now_ms=1)
+    end = after_poll(spent, poll, now_ms=1)
     assert isinstance(end, Finish) and end.outcome is Outcome.NOT_RUN
     lower = make_core(share=0.0, lowest_rank=3)
     lower.start(now_ms=0)
@@ -176,8 +176,8 @@
     assert isinstance(claimed, SendClaim) and claimed.sidecar == "a"
     grant = Grant(sidecar="a", incarnation="a#1", attempt=1)
     core.handle(Granted(grant=grant), now_ms=1)
-    look = core.handle(refused(Reason.OVERLOAD), now_ms=2)
-    given_back = after_look(core, look, now_ms=2)
+    poll = core.handle(refused(Reason.OVERLOAD), now_ms=2)
+    given_back = after_poll(core, poll, now_ms=2)
     assert given_back == SendClaim(
         sidecar=NOBODY, incarnation="", released_attempt=1, release=Release.REFUSED
     )
--- a/tests/components/measure/test_overload.py
+++ b/tests/components/measure/test_overload.py
@@ -20,7 +20,7 @@
     assert mixed.inversions == 0
 
 
-def test_floor_that_outlives_its_look_asks_again() -> None:
+def test_threshold_that_outlives_its_poll_asks_again() -> None:
     outcomes = Traffic(plan=Plan(seed=1, load=5.0, length_ms=12_500)).run()
     assert outcomes.inversions == 0
 
