--- a/benchmarks/gateway.py
+++ b/benchmarks/gateway.py
@@ -10,6 +10,7 @@
     Exchange,
     Member,
     RunningAt,
+    Update,
     WaitingAt,
     decode_datagram,
     encode_datagram,
@@ -92,6 +93,22 @@
     )
 
 
+def make_update(targets: int, changed: int) -> Update:
+    """Return an update of a busy gateway; `changed` organisations used tokens."""
+    whole = make_digest(targets, changed)
+    return Update(
+        sender=short_hash(whole.incarnation),
+        sequence=whole.sequence,
+        leaving=False,
+        revision=whole.revision,
+        targets=short_hash("targets"),
+        running=bytes([3] * targets),
+        prefill=bytes([16] * targets),
+        waiting=whole.waiting,
+        used_tokens=whole.used_tokens,
+    )
+
+
 def timed_us(action: Callable[[], object], times: int) -> float:
     """Return the mean microseconds of `action`."""
     begun = time.perf_counter()
@@ -164,6 +181,11 @@
         name = f"digest of {targets} targets, {organisations} organisations"
         table.add(name, f"{len(data)} bytes")
         table.add(name, f"{timed_us(lambda d=data: decode_datagram(d), 500):.0f} us")
+    for targets, changed in ((6, 5), (23, 8)):
+        data = encode_datagram(make_update(targets, changed))
+        name = f"update of {targets} targets, {changed} organisations changed"
+        table.add(name, f"{len(data)} bytes")
+        table.add(name, f"{timed_us(lambda d=data: decode_datagram(d), 500):.0f} us")
     exchange = Exchange(self_address="0:0", seeds=(), rng=random.Random(1))
     digest = make_digest(24, 20)
     took_us = timed_us(lambda: exchange.take(digest, now_ms=1), 500)
