Limit organisations by their usage in a sliding window

Cause: operators allow an organisation its rate and burst within any window, but the ledger was a token bucket, which allows the burst once and the rate for ever after. The fixed 0.4 of the tolerance was too small a reserve for 20 entries with reports 0.6 s old.

Change: each entry keeps the usage of all entries in a window of 32 buckets. What peers have not reported yet is estimated from their and the own current rate of use. Silent peers are assumed to use an even share, and nothing beyond the limit is used meanwhile. A restarted entry takes over the usage that an older one knows, also that of ended entries.

Tested: the tests of the bound are unchanged. Two tests asserted the level of a bucket, which no longer exists; they now assert the same property of the usage. New ones replay the steady use of the whole limit, the hot organisation and the restart; they fail on the bucket.

--- a/pistachiohaven/components/exchange/_core.py
+++ b/pistachiohaven/components/exchange/_core.py
@@ -66,10 +66,14 @@
 
 @dataclass(frozen=True, slots=True, kw_only=True)
 class Recipient:
-    """Peer to send to in this round: a digest if `gets_digest`, else an update."""
+    """Peer to send to in this round: a digest if `gets_digest`, else an update.
+
+    The digest includes the usage of all entries if `gets_history`.
+    """
 
     peer: Peer
     gets_digest: bool
+    gets_history: bool = False
 
 
 class Exchange:
@@ -173,6 +177,7 @@
         )
         chosen = due[:FAN_OUT]
         digest_recipient = self._select_digest_recipient(chosen)
+        is_requested = digest_recipient is not None and digest_recipient.needs_digest
         for peer in chosen:
             peer.last_sent_ms = now_ms
             peer.updates_since_digest += 1
@@ -180,7 +185,11 @@
             digest_recipient.updates_since_digest = 0
             digest_recipient.needs_digest = False
         return [
-            Recipient(peer=peer, gets_digest=peer is digest_recipient)
+            Recipient(
+                peer=peer,
+                gets_digest=peer is digest_recipient,
+                gets_history=peer is digest_recipient and is_requested,
+            )
             for peer in chosen
         ]
 
--- a/pistachiohaven/components/exchange/_messages.py
+++ b/pistachiohaven/components/exchange/_messages.py
@@ -47,7 +47,9 @@
     `control_address` (`ip:port`) serves peers and operators. `sequence` increases with
     each round of the incarnation. `used_tokens` counts from the sender's start, by hash
     of the organisation's name. `revision` is that of the newest store change that the
-    sender has applied. `members` are some of the live entries.
+    sender has applied. `members` are some of the live entries. `window_tokens` is the
+    usage of all entries within the quota window, as known to the sender; only peers
+    that do not know the sender yet get it.
     """
 
     sender: Member
@@ -61,6 +63,7 @@
     running: tuple[TargetReport, ...]
     waiting: tuple[QueueReport, ...]
     used_tokens: dict[int, int]
+    window_tokens: dict[int, int] | None = None
 
 
 class Update(msgspec.Struct, array_like=True, frozen=True, kw_only=True, tag=1):
--- a/pistachiohaven/components/gateway/_peers.py
+++ b/pistachiohaven/components/gateway/_peers.py
@@ -77,7 +77,10 @@
         sent_bytes = 0
         for recipient in recipients:
             if recipient.gets_digest:
-                datagram = encode_datagram(self._build_digest(now_ms=now_ms))
+                digest = self._build_digest(
+                    now_ms=now_ms, has_history=recipient.gets_history
+                )
+                datagram = encode_datagram(digest)
             else:
                 datagram = update = update or encode_datagram(self._build_update())
             sent_bytes += len(datagram)
@@ -100,8 +103,11 @@
         except OSError as error:
             self._state.log.info("digest_not_sent", peer=address, error=str(error))
 
-    def _build_digest(self, *, now_ms: int) -> Digest:
-        """Return the full state of this gateway."""
+    def _build_digest(self, *, now_ms: int, has_history: bool) -> Digest:
+        """Return the full state of this gateway.
+
+        With `has_history`, it includes the usage of all gateways.
+        """
         state = self._state
         settings = state.settings
         return Digest(
@@ -128,6 +134,9 @@
             ),
             waiting=self._waiting_counts(),
             used_tokens=self._used_tokens,
+            window_tokens=state.quota.window_usage_by_hash(now_ms=now_ms)
+            if has_history
+            else None,
         )
 
     def _build_update(self) -> Update:
@@ -223,6 +232,10 @@
                 load.update_peer_load(
                     message.incarnation, _peer_load(target_report, now_ms=now_ms)
                 )
+        if message.window_tokens is not None:
+            state.quota.apply_history(
+                message.window_tokens, uptime_ms=message.uptime_ms, now_ms=now_ms
+            )
         self._apply_common(message, events, uptime_ms=message.uptime_ms)
 
     @_handle.register
--- a/pistachiohaven/components/gateway/_request.py
+++ b/pistachiohaven/components/gateway/_request.py
@@ -285,7 +285,11 @@
             and not self.may_have_run
             and organisation is not None
         ):
-            self._state.quota.refund(organisation.name, self._call.quota_tokens)
+            self._state.quota.refund(
+                organisation.name,
+                self._call.quota_tokens,
+                now_ms=self._state.clock.now_ms(),
+            )
             self._is_quota_charged = False
 
     # Logs
@@ -319,7 +323,9 @@
             reason=Reason.OVER_QUOTA,
             organisation=organisation.name,
             tokens=self._call.quota_tokens,
-            tokens_left=self._state.quota.remaining_tokens(organisation.name),
+            tokens_left=self._state.quota.remaining_tokens(
+                organisation.name, now_ms=self._state.clock.now_ms()
+            ),
             tokens_per_s=organisation.tokens_per_s,
             peers_heard_ms=self._state.quota.oldest_report_age_ms(
                 now_ms=self._state.clock.now_ms()
--- a/pistachiohaven/components/quota/_core.py
+++ b/pistachiohaven/components/quota/_core.py
@@ -5,22 +5,28 @@
 from pistachiohaven.components.exchange import short_hash
 from pistachiohaven.components.fleet import Organisation
 from pistachiohaven.const import MS_PER_S
+from pistachiohaven.helpers import Ewma
 
+from ._window import UsageWindow, expiry_ms
 from .const import (
-    INITIAL_BURST_SHARE,
+    MAX_PEER_STALE_MS,
     MAX_RETRY_AFTER_MS,
+    MIN_PEER_STALE_MS,
     OVERDRAFT_SHARE,
     PEER_EXPIRY_MS,
-    PEER_STALE_MS,
+    REPORT_INTERVAL_EWMA_WEIGHT,
+    STALE_INTERVALS,
+    START_BURST_SHARE,
+    START_RESERVE_SHARE,
 )
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
 class QuotaTolerance:
-    """Excess over its rate that operators tolerate for an organisation.
+    """Excess over its limit that operators tolerate for an organisation.
 
-    Within `window_s` seconds, the excess is `overage` (a share) of the tokens that rate
-    and burst allow, plus `tokens`.
+    The limit of an organisation is its burst and `window_s` seconds of its rate, within
+    any `window_s` seconds. The excess is `overage` (a share of the limit) and `tokens`.
     """
 
     window_s: float = 8.0
@@ -29,45 +35,54 @@
 
 
 @dataclass(slots=True, kw_only=True)
-class _Bucket:
-    """Token bucket of one organisation.
+class _Account:
+    """Limit and usage of one organisation.
 
-    Requests of this entry may lower `level_tokens` to minus `overdraft_tokens`.
-    `used_tokens` counts the tokens charged by this entry since its start.
+    Within the window, all entries together may use `limit_tokens`, and also
+    `overdraft_tokens` while all peers report. While the usage before the start is
+    unknown, they may use `start_tokens` and `rate_per_s`. `used_tokens` counts the
+    tokens charged by this entry since its start.
     """
 
     rate_per_s: float
-    capacity_tokens: float
+    limit_tokens: float
     overdraft_tokens: float
-    level_tokens: float
-    refilled_ms: int
+    start_tokens: float
+    own: UsageWindow
+    peers: UsageWindow
     used_tokens: int = 0
 
+    def known_tokens(self, *, now_ms: int) -> float:
+        """Return the known usage of all entries within the window."""
+        return self.own.total_tokens(now_ms=now_ms) + self.peers.total_tokens(
+            now_ms=now_ms
+        )
+
 
 @dataclass(slots=True, kw_only=True)
 class _Peer:
-    """Last report of a peer, and the tokens charged for it in advance since then.
+    """Last report of a peer.
 
-    Both maps are keyed by the hash of the organisation's name. A peer is charged in
-    advance while it is stale.
+    `used_tokens` is its usage since its start, by hash of the organisation's name. For
+    a stale peer, `stale_share_tokens` holds its share of the tokens that were left when
+    it became stale, by name of the organisation; it is None for other peers.
     """
 
     last_report_ms: int
-    is_stale: bool = False
     used_tokens: dict[int, int] = field(default_factory=dict)
-    advance_tokens: dict[int, float] = field(default_factory=dict)
+    stale_share_tokens: dict[str, float] | None = None
 
 
 class QuotaLedger:
-    """Token buckets that limit the organisations across all entries.
-
-    Each entry charges its own usage at once and that of its peers when they report it.
-    A peer whose last report is older than `PEER_STALE_MS` is stale. For a stale peer,
-    an entry charges an even share, so that entries that can't reach each other stay
-    within the limit together: a share of the remaining tokens when the peer becomes
-    stale, and a share of the rate from then on. For an expected entry that has not
-    reported yet, only the share of the rate is charged. In the first window after its
-    start, an entry does not know the earlier usage and allows no overdraft.
+    """Usage within a sliding window that limits organisations across all entries.
+
+    Each entry counts its own usage at once and that of its peers when they report it;
+    for the time since their last report, the usage of peers is estimated from the
+    current rate of use. A peer whose reports stop coming is stale after some intervals
+    and is assumed to use an even share, so that entries that can't reach each other
+    stay within the limit together. An entry that starts takes over the usage known to
+    an older peer. Without one, it uses only the rate and the reserve in its first
+    window, since the usage before its start is unknown.
     """
 
     def __init__(
@@ -75,33 +90,38 @@
     ) -> None:
         self._tolerance = tolerance or QuotaTolerance()
         self._started_ms = now_ms
-        self._last_charge_ms = now_ms
+        self._is_history_known = False
         self._expected_peers = 0
-        self._buckets: dict[str, _Bucket] = {}
+        self._accounts: dict[str, _Account] = {}
+        self._names_by_hash: dict[int, str] = {}
         self._peers: dict[str, _Peer] = {}
+        self._report_interval_ms = Ewma(weight=REPORT_INTERVAL_EWMA_WEIGHT)
 
     def configure(
         self, organisations: tuple[Organisation, ...], *, now_ms: int
     ) -> None:
-        """Apply the rates of a new configuration; the levels of buckets are kept."""
-        previous_buckets = self._buckets
-        self._buckets = {}
+        """Apply the limits of a new configuration; the known usage is kept."""
+        previous_accounts = self._accounts
+        self._accounts = {}
         for each in organisations:
             if each.tokens_per_s <= 0:
                 continue
-            previous = previous_buckets.get(each.name)
-            level_tokens = each.burst_tokens * INITIAL_BURST_SHARE
-            if previous is not None:
-                self._refill(previous, now_ms=now_ms)
-                level_tokens = min(previous.level_tokens, each.burst_tokens)
-            self._buckets[each.name] = _Bucket(
-                rate_per_s=each.tokens_per_s,
-                capacity_tokens=each.burst_tokens,
-                overdraft_tokens=self._max_overdraft(each),
-                level_tokens=level_tokens,
-                refilled_ms=now_ms,
-                used_tokens=previous.used_tokens if previous else 0,
+            limit_tokens = (
+                each.tokens_per_s * self._tolerance.window_s + each.burst_tokens
+            )
+            excess_tokens = (
+                self._tolerance.overage * limit_tokens + self._tolerance.tokens
             )
+            account = previous_accounts.get(each.name) or self._new_account(now_ms)
+            account.rate_per_s = each.tokens_per_s
+            account.limit_tokens = limit_tokens
+            account.overdraft_tokens = OVERDRAFT_SHARE * excess_tokens
+            account.start_tokens = max(
+                START_RESERVE_SHARE * (1 - OVERDRAFT_SHARE) * excess_tokens,
+                START_BURST_SHARE * each.burst_tokens,
+            )
+            self._accounts[each.name] = account
+        self._names_by_hash = {short_hash(name): name for name in self._accounts}
 
     def charge(self, organisation: str, tokens: int, *, now_ms: int) -> int | None:
         """Charge `tokens` and return None, or return the time until they would fit.
@@ -109,30 +129,26 @@
         The time is in milliseconds, at most `MAX_RETRY_AFTER_MS`; nothing is charged
         then. An organisation without a limit is never charged.
         """
-        bucket = self._buckets.get(organisation)
-        if bucket is None:
+        account = self._accounts.get(organisation)
+        if account is None:
             return None
-        self._charge_stale_peers(now_ms=now_ms)
-        self._refill(bucket, now_ms=now_ms)
-        wanted_tokens = min(float(tokens), bucket.capacity_tokens)
-        available_tokens = bucket.level_tokens + self._allowed_overdraft(
-            bucket, now_ms=now_ms
-        )
+        self._update_peers(now_ms=now_ms)
+        wanted_tokens = min(float(tokens), account.limit_tokens)
+        available_tokens = self._available_tokens(organisation, account, now_ms=now_ms)
         if available_tokens < wanted_tokens:
             missing_tokens = wanted_tokens - available_tokens
-            retry_after_ms = int(missing_tokens * MS_PER_S / bucket.rate_per_s) + 1
-            return min(retry_after_ms, MAX_RETRY_AFTER_MS)
-        bucket.level_tokens -= tokens
-        bucket.used_tokens += tokens
+            return self._time_until_free_ms(account, missing_tokens, now_ms=now_ms)
+        account.own.add(tokens, start_ms=now_ms, end_ms=now_ms)
+        account.used_tokens += tokens
         return None
 
-    def refund(self, organisation: str, tokens: int) -> None:
+    def refund(self, organisation: str, tokens: int, *, now_ms: int) -> None:
         """Refund the tokens of a request that did not run."""
-        bucket = self._buckets.get(organisation)
-        if bucket is None:
+        account = self._accounts.get(organisation)
+        if account is None:
             return
-        bucket.level_tokens = min(bucket.level_tokens + tokens, bucket.capacity_tokens)
-        bucket.used_tokens -= tokens
+        account.own.remove(tokens, now_ms=now_ms)
+        account.used_tokens -= tokens
 
     def usage_by_hash(self) -> dict[int, int]:
         """Return the tokens charged here since the start, by hash of the organisation.
@@ -140,15 +156,25 @@
         Organisations without usage are omitted.
         """
         return {
-            short_hash(name): bucket.used_tokens
-            for name, bucket in self._buckets.items()
-            if bucket.used_tokens
+            name_hash: self._accounts[name].used_tokens
+            for name_hash, name in self._names_by_hash.items()
+            if self._accounts[name].used_tokens
         }
 
-    def remaining_tokens(self, organisation: str) -> int | None:
-        """Return the remaining tokens, negative if overdrawn; None without a limit."""
-        bucket = self._buckets.get(organisation)
-        return None if bucket is None else int(bucket.level_tokens)
+    def window_usage_by_hash(self, *, now_ms: int) -> dict[int, int]:
+        """Return the known usage of all entries within the window, by the same hash."""
+        usage = {
+            name_hash: round(self._accounts[name].known_tokens(now_ms=now_ms))
+            for name_hash, name in self._names_by_hash.items()
+        }
+        return {name_hash: tokens for name_hash, tokens in usage.items() if tokens}
+
+    def remaining_tokens(self, organisation: str, *, now_ms: int) -> int | None:
+        """Return the tokens that may be used now, None without a limit."""
+        account = self._accounts.get(organisation)
+        if account is None:
+            return None
+        return int(self._available_tokens(organisation, account, now_ms=now_ms))
 
     def oldest_report_age_ms(self, *, now_ms: int) -> int:
         """Return the age in milliseconds of the oldest of the peers' last reports."""
@@ -166,121 +192,185 @@
     def apply_peer_usage(
         self, peer: str, used: dict[int, int], *, uptime_ms: int, now_ms: int
     ) -> None:
-        """Charge what `peer` (one incarnation of an entry) used since its last report.
+        """Count what `peer` (one incarnation of an entry) used since its last report.
 
         `used` holds the tokens since the start of the peer by hash of the organisation;
-        those of omitted organisations are unchanged. For a new peer, only the part is
-        charged that falls into one window if its usage was spread evenly over its
-        `uptime_ms`.
+        those of omitted organisations are unchanged. The usage of a new peer is taken
+        as spread evenly over its `uptime_ms`.
         """
-        self._charge_stale_peers(now_ms=now_ms)
-        peer_state = self._peers.get(peer)
-        share = 1.0
-        if peer_state is None:
-            peer_state = self._peers[peer] = _Peer(last_report_ms=now_ms)
-            share = min(self._window_ms / max(uptime_ms, 1), 1.0)
-        used = {**peer_state.used_tokens, **used}
-        for name, bucket in self._buckets.items():
-            name_hash = short_hash(name)
-            newly_used = (
-                used.get(name_hash, 0) - peer_state.used_tokens.get(name_hash, 0)
-            ) * share
-            tokens_owed = newly_used - peer_state.advance_tokens.get(name_hash, 0.0)
-            bucket.level_tokens = min(
-                bucket.level_tokens - tokens_owed, bucket.capacity_tokens
-            )
-        peer_state.used_tokens = used
-        peer_state.advance_tokens.clear()
-        peer_state.is_stale = False
-        peer_state.last_report_ms = now_ms
+        self._update_peers(now_ms=now_ms)
+        state = self._peers.get(peer)
+        if state is None:
+            state = self._peers[peer] = _Peer(last_report_ms=now_ms - uptime_ms)
+            if self._is_history_known and uptime_ms > now_ms - self._started_ms:
+                state.used_tokens = dict(used)
+        for name_hash, used_tokens in used.items():
+            name = self._names_by_hash.get(name_hash)
+            newly_used = used_tokens - state.used_tokens.get(name_hash, 0)
+            state.used_tokens[name_hash] = used_tokens
+            if name is None or not newly_used:
+                continue
+            usage = self._accounts[name].peers
+            if newly_used < 0:
+                usage.remove(-newly_used, now_ms=now_ms)
+            else:
+                usage.add(newly_used, start_ms=state.last_report_ms, end_ms=now_ms)
+        if state.stale_share_tokens is None:
+            self._report_interval_ms.add(now_ms - state.last_report_ms)
+        state.stale_share_tokens = None
+        state.last_report_ms = now_ms
+
+    def apply_history(
+        self, window_usage: dict[int, int], *, uptime_ms: int, now_ms: int
+    ) -> None:
+        """Take over the usage within the window that an older entry knows of.
 
-    def drop_peer(self, peer: str) -> None:
-        """Remove an incarnation that has ended and refund its advance charges."""
-        ended_peer = self._peers.pop(peer, None)
-        if ended_peer is not None:
-            self._refund_advance(ended_peer)
-
-    def _max_overdraft(self, organisation: Organisation) -> float:
-        """Return the tokens that `organisation` may overdraw."""
-        tolerance = self._tolerance
-        allowed_tokens = (
-            organisation.tokens_per_s * tolerance.window_s + organisation.burst_tokens
-        )
-        return OVERDRAFT_SHARE * (tolerance.overage * allowed_tokens + tolerance.tokens)
+        It includes that of entries that have ended. Nothing happens if this entry knows
+        the usage before its start already, or if the peer does not.
+        """
+        is_first_window = now_ms - self._started_ms < self._window_ms
+        if self._is_history_known or not is_first_window or uptime_ms < self._window_ms:
+            return
+        self._is_history_known = True
+        for name_hash, tokens in window_usage.items():
+            name = self._names_by_hash.get(name_hash)
+            if name is None:
+                continue
+            account = self._accounts[name]
+            missing_tokens = tokens - account.known_tokens(now_ms=now_ms)
+            if missing_tokens > 0:
+                start_ms = now_ms - int(self._window_ms)
+                account.peers.add(missing_tokens, start_ms=start_ms, end_ms=now_ms)
 
-    def _refill(self, bucket: _Bucket, *, now_ms: int) -> None:
-        refill_tokens = (now_ms - bucket.refilled_ms) * bucket.rate_per_s / MS_PER_S
-        bucket.level_tokens = min(
-            bucket.level_tokens + refill_tokens, bucket.capacity_tokens
+    def drop_peer(self, peer: str) -> None:
+        """Remove an incarnation that has ended; its reported usage still counts."""
+        self._peers.pop(peer, None)
+
+    def _new_account(self, now_ms: int) -> _Account:
+        return _Account(
+            rate_per_s=0.0,
+            limit_tokens=0.0,
+            overdraft_tokens=0.0,
+            start_tokens=0.0,
+            own=UsageWindow(window_ms=self._window_ms, now_ms=now_ms),
+            peers=UsageWindow(window_ms=self._window_ms, now_ms=now_ms),
         )
-        bucket.refilled_ms = now_ms
 
     @property
     def _window_ms(self) -> float:
         return self._tolerance.window_s * MS_PER_S
 
-    def _allowed_overdraft(self, bucket: _Bucket, *, now_ms: int) -> float:
-        """Return the allowed overdraft; it is 0 in the first window after the start."""
-        if now_ms - self._started_ms < self._window_ms:
+    # Available tokens
+
+    def _available_tokens(
+        self, organisation: str, account: _Account, *, now_ms: int
+    ) -> float:
+        """Return the tokens that this entry may still use, negative if overdrawn."""
+        return (
+            self._current_limit_tokens(account, now_ms=now_ms)
+            - account.known_tokens(now_ms=now_ms)
+            - self._unreported_tokens(account, now_ms=now_ms)
+            - self._silent_tokens(organisation, account, now_ms=now_ms)
+        )
+
+    def _current_limit_tokens(self, account: _Account, *, now_ms: int) -> float:
+        """Return the limit, less in the first window if earlier usage is unknown."""
+        uptime_ms = now_ms - self._started_ms
+        if not self._is_history_known and uptime_ms < self._window_ms:
+            rate_tokens = account.rate_per_s * uptime_ms / MS_PER_S
+            return min(account.start_tokens + rate_tokens, account.limit_tokens)
+        if any(peer.stale_share_tokens is not None for peer in self._peers.values()):
+            return account.limit_tokens
+        return account.limit_tokens + account.overdraft_tokens
+
+    def _unreported_tokens(self, account: _Account, *, now_ms: int) -> float:
+        """Return the estimated usage of live peers since their last reports.
+
+        A burst reaches all entries alike, so that the own rate of use tells how much
+        the peers use before they report it.
+        """
+        ages_ms = [
+            now_ms - peer.last_report_ms
+            for peer in self._peers.values()
+            if peer.stale_share_tokens is None
+        ]
+        if not ages_ms:
             return 0.0
-        return bucket.overdraft_tokens
+        tokens_per_ms = max(
+            account.peers.tokens_per_ms(now_ms=now_ms) / len(ages_ms),
+            account.own.tokens_per_ms(now_ms=now_ms),
+        )
+        return tokens_per_ms * sum(ages_ms)
 
-    def _charge_stale_peers(self, *, now_ms: int) -> None:
-        """Charge stale and unknown peers for the time since the last call.
+    def _silent_tokens(
+        self, organisation: str, account: _Account, *, now_ms: int
+    ) -> float:
+        """Return the assumed usage of the entries that do not report.
 
-        Expired peers are removed. Entries that are expected but have not reported yet
-        are charged until `PEER_EXPIRY_MS` after the start.
+        A stale peer uses an even share of what was left when it became stale, and then
+        of what expires. An expected entry that has not reported yet uses an even share
+        in the first `PEER_EXPIRY_MS`.
         """
-        elapsed_ms = now_ms - self._last_charge_ms
-        self._last_charge_ms = now_ms
-        stale_peers: list[_Peer] = []
+        entry_share = 1.0 / self._entry_count(now_ms=now_ms)
+        even_tokens = account.limit_tokens * entry_share
+        total_tokens = 0.0
+        for peer in self._peers.values():
+            if peer.stale_share_tokens is None:
+                continue
+            silent_share = min((now_ms - peer.last_report_ms) / self._window_ms, 1.0)
+            first_tokens = peer.stale_share_tokens.get(organisation, 0.0)
+            total_tokens += first_tokens + (even_tokens - first_tokens) * silent_share
+        limit_tokens = self._current_limit_tokens(account, now_ms=now_ms)
+        unknown_peers = self._unknown_peers(now_ms=now_ms)
+        return total_tokens + limit_tokens * entry_share * unknown_peers
+
+    def _time_until_free_ms(
+        self, account: _Account, tokens: float, *, now_ms: int
+    ) -> int:
+        """Return the time until `tokens` of the known usage have expired.
+
+        While the limit grows after the start, it is the time until it has grown by
+        `tokens`, if that is shorter.
+        """
+        free_ms = expiry_ms((account.own, account.peers), tokens, now_ms=now_ms)
+        if self._current_limit_tokens(account, now_ms=now_ms) < account.limit_tokens:
+            free_ms = min(free_ms, int(tokens * MS_PER_S / account.rate_per_s) + 1)
+        return min(max(free_ms, 1), MAX_RETRY_AFTER_MS)
+
+    # Peers
+
+    @property
+    def _stale_after_ms(self) -> float:
+        """Return the age of its last report from which a peer is stale."""
+        interval_ms = self._report_interval_ms.get(0.0)
+        return min(
+            max(STALE_INTERVALS * interval_ms, MIN_PEER_STALE_MS), MAX_PEER_STALE_MS
+        )
+
+    def _entry_count(self, *, now_ms: int) -> int:
+        return len(self._peers) + self._unknown_peers(now_ms=now_ms) + 1
+
+    def _unknown_peers(self, *, now_ms: int) -> int:
+        """Return the number of expected entries that have not reported yet."""
+        if now_ms - self._started_ms >= PEER_EXPIRY_MS:
+            return 0
+        return max(self._expected_peers - len(self._peers), 0)
+
+    def _update_peers(self, *, now_ms: int) -> None:
+        """Remove expired peers and note the tokens left when a peer becomes stale."""
+        became_stale: list[_Peer] = []
         for name, peer in list(self._peers.items()):
-            if now_ms - peer.last_report_ms > PEER_EXPIRY_MS:
+            age_ms = now_ms - peer.last_report_ms
+            if age_ms > PEER_EXPIRY_MS:
                 self.drop_peer(name)
-            elif now_ms - peer.last_report_ms > PEER_STALE_MS:
-                stale_peers.append(peer)
-        unknown_peers = 0
-        if now_ms - self._started_ms < PEER_EXPIRY_MS:
-            unknown_peers = max(self._expected_peers - len(self._peers), 0)
-        if stale_peers or unknown_peers:
-            self._charge_even_shares(stale_peers, unknown_peers, elapsed_ms=elapsed_ms)
-
-    def _charge_even_shares(
-        self, stale_peers: list[_Peer], unknown_peers: int, *, elapsed_ms: int
-    ) -> None:
-        """Charge an even share of every rate for each stale and each unknown peer.
-
-        A peer that just became stale is also charged an even share of the remaining
-        tokens. The level of a bucket is at least minus the sum of its capacity and
-        twice its overdraft.
-        """
-        entry_count = len(self._peers) + unknown_peers + 1
-        for name, bucket in self._buckets.items():
-            name_hash = short_hash(name)
-            rate_share_tokens = bucket.rate_per_s * elapsed_ms / MS_PER_S / entry_count
-            chargeable_tokens = max(bucket.level_tokens + bucket.overdraft_tokens, 0.0)
-            for peer in stale_peers:
-                share = (
-                    rate_share_tokens
-                    if peer.is_stale
-                    else rate_share_tokens + chargeable_tokens / entry_count
-                )
-                peer.advance_tokens[name_hash] = (
-                    peer.advance_tokens.get(name_hash, 0.0) + share
-                )
-                bucket.level_tokens -= share
-            bucket.level_tokens -= rate_share_tokens * unknown_peers
-            bucket.level_tokens = max(
-                bucket.level_tokens,
-                -2 * bucket.overdraft_tokens - bucket.capacity_tokens,
-            )
-        for peer in stale_peers:
-            peer.is_stale = True
-
-    def _refund_advance(self, peer: _Peer) -> None:
-        """Refund the tokens that were charged in advance for `peer`."""
-        for name, bucket in self._buckets.items():
-            advance_tokens = peer.advance_tokens.get(short_hash(name), 0.0)
-            bucket.level_tokens = min(
-                bucket.level_tokens + advance_tokens, bucket.capacity_tokens
-            )
+            elif age_ms > self._stale_after_ms and peer.stale_share_tokens is None:
+                became_stale.append(peer)
+        if not became_stale:
+            return
+        share = 1.0 / self._entry_count(now_ms=now_ms)
+        left_shares = {
+            name: max(self._available_tokens(name, account, now_ms=now_ms), 0.0) * share
+            for name, account in self._accounts.items()
+        }
+        for peer in became_stale:
+            peer.stale_share_tokens = left_shares
--- a/pistachiohaven/components/quota/const.py
+++ b/pistachiohaven/components/quota/const.py
@@ -2,26 +2,40 @@
 
 from typing import Final
 
-PEER_STALE_MS: Final = 600
-"""Age of a peer's last report from which it is charged a share of each rate.
+STALE_INTERVALS: Final = 3
+"""Usual intervals between a peer's reports after which it is stale.
 
-Three to five exchange intervals, so that one lost datagram does not make a peer stale.
+One or two lost datagrams do not make a peer stale.
 """
 
+MIN_PEER_STALE_MS: Final = 600
+MAX_PEER_STALE_MS: Final = 2_000
+"""Bounds of the age of its last report from which a peer is stale."""
+
+REPORT_INTERVAL_EWMA_WEIGHT: Final = 0.02
+"""Weight of the newest interval between two reports of a peer."""
+
 PEER_EXPIRY_MS: Final = 60_000
 """Age of a peer's last report from which it is removed.
 
 Longer than a machine is disconnected in any of the load scenarios.
 """
 
-OVERDRAFT_SHARE: Final = 0.6
-"""Share of the tolerated excess that an organisation may overdraw.
+OVERDRAFT_SHARE: Final = 0.3
+"""Share of the tolerated excess that an organisation may use beyond its limit.
+
+The rest covers the usage of other entries between two of their reports.
+"""
+
+START_RESERVE_SHARE: Final = 0.5
+START_BURST_SHARE: Final = 0.5
+"""Shares of that rest and of the burst that may be used at once after a start.
 
-The rest covers the usage of other entries between two of their digests.
+The larger of the two counts.
 """
 
-INITIAL_BURST_SHARE: Final = 0.5
-"""Share of the burst that an entry may use before it has reports of its peers."""
+WINDOW_BUCKETS: Final = 32
+"""Buckets of a usage window."""
 
 MAX_RETRY_AFTER_MS: Final = 5_000
 """Longest time after which a caller over its quota is asked to retry."""
