Serve requests by expected work within a rank

Cause: under load, the least urgent streams hold two thirds of the slots, and the longest tenth of them two fifths of that time. In order of arrival, a long stream keeps many short requests waiting until they are refused.

Change: within a rank and among those in time (or late), requests are sorted by arrival plus the expected time in a slot, at the speeds measured for the pool. A long request is overtaken for no longer than its own work takes.

--- a/pistachiohaven/components/placement/_load.py
+++ b/pistachiohaven/components/placement/_load.py
@@ -69,7 +69,7 @@
 
     def __init__(self, *, target: Target, is_engine: bool, cache_tokens: int) -> None:
         self.target = target
-        self._is_engine = is_engine
+        self.is_engine = is_engine
         self._cache_limit_tokens = int(cache_tokens * CACHE_MEMORY_SHARE)
         self._prompt_cache: OrderedDict[str, tuple[int, int]] = OrderedDict()
         self._cached_tokens = 0
@@ -153,6 +153,25 @@
         reported = [peer.token_ms for peer in self._peers.values() if peer.token_ms]
         return sum(reported) / len(reported) if reported else DEFAULT_TOKEN_MS
 
+    @property
+    def prefill_tokens_per_ms(self) -> float:
+        """Return the prompt tokens processed per millisecond.
+
+        Without measurements here or by peers, the default rate is scaled by the speed
+        of the output tokens.
+        """
+        if self._prefill_rate.value is not None:
+            return self._prefill_rate.value
+        reported = [
+            peer.prefill_tokens_per_ms
+            for peer in self._peers.values()
+            if peer.prefill_tokens_per_ms
+        ]
+        if reported:
+            return sum(reported) / len(reported)
+        speed = DEFAULT_TOKEN_MS / self.token_ms
+        return DEFAULT_PREFILL_TOKENS_PER_MS * speed
+
     @property
     def service_ms(self) -> float:
         """Return the mean ms per request, `DEFAULT_SERVICE_MS` while unknown."""
@@ -211,14 +230,14 @@
         """Return the expected duration of `job` in ms, increased by recent failures."""
         penalty = 1.0 + FAILURE_PENALTY * self.failed_share
         utilisation = self.running(now_ms=now_ms) / self.target.slots
-        if not self._is_engine:
+        if not self.is_engine:
             return self.service_ms * (1.0 + utilisation) * penalty
         backlog = self.own_prefill_tokens() + sum(
             peer.prefill_tokens for peer in self._live_peer_loads(now_ms=now_ms)
         )
         tokens_to_prefill = backlog + self._uncached_tokens(job, now_ms=now_ms)
         expected_first_event_ms = (
-            FIRST_BYTE_OVERHEAD_MS + tokens_to_prefill / self._expected_prefill_rate()
+            FIRST_BYTE_OVERHEAD_MS + tokens_to_prefill / self.prefill_tokens_per_ms
         )
         return (
             expected_first_event_ms
@@ -227,10 +246,10 @@
 
     def expected_first_event_ms(self, job: Job, *, now_ms: int) -> float:
         """Return the expected time in ms until the first event of `job`."""
-        if not self._is_engine:
+        if not self.is_engine:
             return self.service_ms
         backlog = self.own_prefill_tokens() + self._uncached_tokens(job, now_ms=now_ms)
-        return FIRST_BYTE_OVERHEAD_MS + backlog / self._expected_prefill_rate()
+        return FIRST_BYTE_OVERHEAD_MS + backlog / self.prefill_tokens_per_ms
 
     # Results of requests
 
@@ -339,24 +358,6 @@
             if now_ms - peer.reported_ms < PEER_LOAD_TTL_MS
         ]
 
-    def _expected_prefill_rate(self) -> float:
-        """Return the expected prompt tokens processed per millisecond.
-
-        Without measurements here or by peers, the default rate is scaled by the speed
-        of the output tokens.
-        """
-        if self._prefill_rate.value is not None:
-            return self._prefill_rate.value
-        reported = [
-            peer.prefill_tokens_per_ms
-            for peer in self._peers.values()
-            if peer.prefill_tokens_per_ms
-        ]
-        if reported:
-            return sum(reported) / len(reported)
-        speed = DEFAULT_TOKEN_MS / self.token_ms
-        return DEFAULT_PREFILL_TOKENS_PER_MS * speed
-
     def _uncached_tokens(self, job: Job, *, now_ms: int) -> int:
         """Return the prompt tokens of `job` that the target has not cached."""
         cached = self._prompt_cache.get(job.session_part) if job.session_part else None
--- a/pistachiohaven/components/placement/_scheduler.py
+++ b/pistachiohaven/components/placement/_scheduler.py
@@ -2,6 +2,7 @@
 
 from collections import Counter
 from dataclasses import dataclass, replace
+from statistics import fmean
 
 from pistachiohaven.components.exchange import short_hash
 from pistachiohaven.components.fleet import Pool, Target
@@ -214,7 +215,10 @@
         targets: the free slots may be at those. Blocked jobs may still be refused.
         """
         decisions: list[Decision] = []
-        jobs.sort(key=lambda job: self._scheduling_key(job, now_ms=now_ms))
+        work_ms = self._expected_work_ms(jobs)
+        jobs.sort(
+            key=lambda job: _scheduling_key(job, work_ms[job.request_id], now_ms=now_ms)
+        )
         is_blocked = False
         free_slots = self._free_slots(jobs[0].pool, now_ms=now_ms)
         for job in list(jobs):
@@ -235,10 +239,21 @@
                 is_blocked = is_blocked or not job.excluded_targets
         return decisions
 
-    def _scheduling_key(self, job: Job, *, now_ms: int) -> tuple[int, bool, int]:
-        """Return the sort key of a queue: rank, late or not, time of arrival."""
-        is_late = now_ms > job.first_byte_due_ms and not job.has_response_started
-        return (job.rank, is_late, job.arrived_ms)
+    def _expected_work_ms(self, jobs: list[Job]) -> dict[str, float]:
+        """Return how long each job of a pool is expected to use a slot, by its id.
+
+        The speeds are those of the pool's average target.
+        """
+        loads = self._pool_loads(jobs[0].pool)
+        if not loads or not loads[0].is_engine:
+            return dict.fromkeys((job.request_id for job in jobs), 0.0)
+        token_ms = fmean(load.token_ms for load in loads)
+        prompt_token_ms = fmean(1 / load.prefill_tokens_per_ms for load in loads)
+        return {
+            job.request_id: job.prompt_tokens * prompt_token_ms
+            + job.output_tokens * token_ms
+            for job in jobs
+        }
 
     def _select_target(self, job: Job, *, now_ms: int) -> TargetLoad | None:
         """Return the target with a free slot where `job` is expected to end first."""
@@ -389,3 +404,15 @@
         """
         loads = [load for load in self._pool_loads(pool) if not load.target.leaving]
         return [load for load in loads if load.is_usable(now_ms=now_ms)] or loads
+
+
+def _scheduling_key(
+    job: Job, work_ms: float, *, now_ms: int
+) -> tuple[int, bool, float]:
+    """Return the sort key of a queue: rank, late or not, arrival plus expected work.
+
+    Short requests overtake long ones, so that more are served while there are too few
+    slots. A long request is overtaken for no longer than its own work takes.
+    """
+    is_late = now_ms > job.first_byte_due_ms and not job.has_response_started
+    return (job.rank, is_late, job.arrived_ms + work_ms)
