Lower the share of the quota tolerance that is used to a tenth

Hypothesis: with a sliding window, the overdraft only has to cover what the window counts too long, since requests beyond the limit take slots from others under load.

--- a/pistachiohaven/components/quota/const.py
+++ b/pistachiohaven/components/quota/const.py
@@ -21,7 +21,7 @@
 Longer than a machine is disconnected in any of the load scenarios.
 """
 
-OVERDRAFT_SHARE: Final = 0.3
+OVERDRAFT_SHARE: Final = 0.1
 """Share of the tolerated excess that an organisation may use beyond its limit.
 
 The rest covers the usage of other entries between two of their reports.
