Move the order of waiting requests to a module of its own

The scheduler mixed it with the reservation of slots. The order is the same.

Tried and reverted on the way: a request counts as late when its first event is expected after its target, instead of when the target has passed.

--- a/pistachiohaven/components/placement/_scheduler.py
+++ b/pistachiohaven/components/placement/_scheduler.py
@@ -2,7 +2,6 @@
 
 from collections import Counter
 from dataclasses import dataclass, replace
-from statistics import fmean
 
 from pistachiohaven.components.exchange import short_hash
 from pistachiohaven.components.fleet import Pool, Target
@@ -11,6 +10,7 @@
 
 from ._job import Decision, Job, Placement, Refusal
 from ._load import PeerLoad, TargetLoad
+from ._order import measure_speed, scheduling_key
 from .const import (
     MAX_RETRY_AFTER_MS,
     MAX_URGENT_SHARE,
@@ -215,10 +215,8 @@
         targets: the free slots may be at those. Blocked jobs may still be refused.
         """
         decisions: list[Decision] = []
-        work_ms = self._expected_work_ms(jobs)
-        jobs.sort(
-            key=lambda job: _scheduling_key(job, work_ms[job.request_id], now_ms=now_ms)
-        )
+        speed = measure_speed(self._pool_loads(jobs[0].pool))
+        jobs.sort(key=lambda job: scheduling_key(job, speed, now_ms=now_ms))
         is_blocked = False
         free_slots = self._free_slots(jobs[0].pool, now_ms=now_ms)
         for job in list(jobs):
@@ -239,22 +237,6 @@
                 is_blocked = is_blocked or not job.excluded_targets
         return decisions
 
-    def _expected_work_ms(self, jobs: list[Job]) -> dict[str, float]:
-        """Return how long each job of a pool is expected to use a slot, by its id.
-
-        The speeds are those of the pool's average target.
-        """
-        loads = self._pool_loads(jobs[0].pool)
-        if not loads or not loads[0].is_engine:
-            return dict.fromkeys((job.request_id for job in jobs), 0.0)
-        token_ms = fmean(load.token_ms for load in loads)
-        prompt_token_ms = fmean(1 / load.prefill_tokens_per_ms for load in loads)
-        return {
-            job.request_id: job.prompt_tokens * prompt_token_ms
-            + job.output_tokens * token_ms
-            for job in jobs
-        }
-
     def _select_target(self, job: Job, *, now_ms: int) -> TargetLoad | None:
         """Return the target with a free slot where `job` is expected to end first."""
         loads = [
@@ -404,15 +386,3 @@
         """
         loads = [load for load in self._pool_loads(pool) if not load.target.leaving]
         return [load for load in loads if load.is_usable(now_ms=now_ms)] or loads
-
-
-def _scheduling_key(
-    job: Job, work_ms: float, *, now_ms: int
-) -> tuple[int, bool, float]:
-    """Return the sort key of a queue: rank, late or not, arrival plus expected work.
-
-    Short requests overtake long ones, so that more are served while there are too few
-    slots. A long request is overtaken for no longer than its own work takes.
-    """
-    is_late = now_ms > job.first_byte_due_ms and not job.has_response_started
-    return (job.rank, is_late, job.arrived_ms + work_ms)
