Assign shares to silent peers only for organisations that are charged

Cause: when a peer became stale, the tokens left were computed for every organisation, each over all peers. With 379 peers, which are stale most of the time, that is 130,000 steps for each report.

Change: the share is computed at the first charge of an organisation after a peer became stale.

--- a/benchmarks/gateway.py
+++ b/benchmarks/gateway.py
@@ -1,5 +1,6 @@
 """Benchmarks of a gateway: decisions, digests, updates and memory."""
 
+import itertools
 import random
 import time
 import tracemalloc
@@ -154,8 +155,8 @@
     return (after - before) / len(scheduler.loads())
 
 
-def time_quota() -> float:
-    """Return the time to apply a peer's usage by 340 organisations, in microseconds."""
+def make_ledger() -> QuotaLedger:
+    """Return a ledger of 340 organisations."""
     ledger = QuotaLedger()
     organisations = tuple(
         Organisation(
@@ -169,10 +170,40 @@
         for number in range(340)
     )
     ledger.configure(organisations, now_ms=0)
+    return ledger
+
+
+def time_peer_usage() -> float:
+    """Return the time to apply a peer's use by 340 organisations, in microseconds."""
+    ledger = make_ledger()
     used = make_digest(0, 340).used_tokens
-    return mean_us(
-        lambda: ledger.apply_peer_usage("peer", used, uptime_ms=1, now_ms=1), 200
-    )
+    times_ms = itertools.count(100, 100)
+
+    def apply() -> None:
+        now_ms = next(times_ms)
+        growing = {name: tokens + now_ms for name, tokens in used.items()}
+        ledger.apply_peer_usage("peer", growing, uptime_ms=now_ms, now_ms=now_ms)
+
+    return mean_us(apply, 200)
+
+
+def time_charge(peers: int) -> float:
+    """Return the time to charge one request with `peers` peers, in microseconds."""
+    ledger = make_ledger()
+    for number in range(peers):
+        ledger.apply_peer_usage(f"peer-{number}", {}, uptime_ms=1, now_ms=10_000)
+    return mean_us(lambda: ledger.charge("org-0", 1, now_ms=10_100), 500)
+
+
+def measure_account_bytes() -> float:
+    """Return the memory of one organisation's account, in bytes."""
+    tracemalloc.start()
+    before = tracemalloc.get_traced_memory()[0]
+    ledger = make_ledger()
+    after = tracemalloc.get_traced_memory()[0]
+    tracemalloc.stop()
+    assert ledger.remaining_tokens("org-0", now_ms=0) is not None
+    return (after - before) / 340
 
 
 def main() -> None:
@@ -192,7 +223,10 @@
     digest = make_digest(24, 20)
     handling_us = mean_us(lambda: exchange.handle_digest(digest, now_ms=1), 500)
     table.add("take a digest", f"{handling_us:.1f} us")
-    table.add("take a peer's use, 340 organisations", f"{time_quota():.0f} us")
+    table.add("take a peer's use, 340 organisations", f"{time_peer_usage():.0f} us")
+    for peers in (3, 22, 379):
+        table.add(f"charge with {peers} peers", f"{time_charge(peers):.0f} us")
+    table.add("account of one organisation", f"{measure_account_bytes():.0f} bytes")
     for targets in (6, 24, 100, 1_000):
         table.add(f"place among {targets}", f"{time_placement(targets):.0f} us")
     for targets, waiting in ((6, 50), (24, 50), (24, 200)):
--- a/pistachiohaven/components/quota/_core.py
+++ b/pistachiohaven/components/quota/_core.py
@@ -65,7 +65,8 @@
 
     `used_tokens` is its usage since its start, by hash of the organisation's name. For
     a stale peer, `stale_share_tokens` holds its share of the tokens that were left when
-    it became stale, by name of the organisation; it is None for other peers.
+    it became stale, by name of the organisation, for those charged since; it is None
+    for other peers.
     """
 
     last_report_ms: int
@@ -133,6 +134,7 @@
         if account is None:
             return None
         self._update_peers(now_ms=now_ms)
+        self._assign_stale_shares(organisation, account, now_ms=now_ms)
         wanted_tokens = min(float(tokens), account.limit_tokens)
         available_tokens = self._available_tokens(organisation, account, now_ms=now_ms)
         if available_tokens < wanted_tokens:
@@ -357,20 +359,28 @@
         return max(self._expected_peers - len(self._peers), 0)
 
     def _update_peers(self, *, now_ms: int) -> None:
-        """Remove expired peers and note the tokens left when a peer becomes stale."""
-        became_stale: list[_Peer] = []
+        """Remove expired peers and mark stale ones."""
+        stale_after_ms = self._stale_after_ms
         for name, peer in list(self._peers.items()):
             age_ms = now_ms - peer.last_report_ms
             if age_ms > PEER_EXPIRY_MS:
                 self.drop_peer(name)
-            elif age_ms > self._stale_after_ms and peer.stale_share_tokens is None:
-                became_stale.append(peer)
-        if not became_stale:
+            elif age_ms > stale_after_ms and peer.stale_share_tokens is None:
+                peer.stale_share_tokens = {}
+
+    def _assign_stale_shares(
+        self, organisation: str, account: _Account, *, now_ms: int
+    ) -> None:
+        """Assign an even share of the tokens left now to the peers newly stale."""
+        new_shares = [
+            peer.stale_share_tokens
+            for peer in self._peers.values()
+            if peer.stale_share_tokens is not None
+            and organisation not in peer.stale_share_tokens
+        ]
+        if not new_shares:
             return
-        share = 1.0 / self._entry_count(now_ms=now_ms)
-        left_shares = {
-            name: max(self._available_tokens(name, account, now_ms=now_ms), 0.0) * share
-            for name, account in self._accounts.items()
-        }
-        for peer in became_stale:
-            peer.stale_share_tokens = left_shares
+        left_tokens = self._available_tokens(organisation, account, now_ms=now_ms)
+        share_tokens = max(left_tokens, 0.0) / self._entry_count(now_ms=now_ms)
+        for shares in new_shares:
+            shares[organisation] = share_tokens
