Do not take a new peer's uptime for an interval between reports

Cause: the first report of a peer added its uptime to the mean interval, so that a silent peer became stale only after 2 s instead of 0.6 s.

Tested: the new test failed before.

--- a/pistachiohaven/components/quota/_core.py
+++ b/pistachiohaven/components/quota/_core.py
@@ -206,6 +206,8 @@
             state = self._peers[peer] = _Peer(last_report_ms=now_ms - uptime_ms)
             if self._is_history_known and uptime_ms > now_ms - self._started_ms:
                 state.used_tokens = dict(used)
+        elif state.stale_share_tokens is None:
+            self._report_interval_ms.add(now_ms - state.last_report_ms)
         for name_hash, used_tokens in used.items():
             name = self._names_by_hash.get(name_hash)
             newly_used = used_tokens - state.used_tokens.get(name_hash, 0)
@@ -217,8 +219,6 @@
                 usage.remove(-newly_used, now_ms=now_ms)
             else:
                 usage.add(newly_used, start_ms=state.last_report_ms, end_ms=now_ms)
-        if state.stale_share_tokens is None:
-            self._report_interval_ms.add(now_ms - state.last_report_ms)
         state.stale_share_tokens = None
         state.last_report_ms = now_ms
 
--- a/tests/components/quota/test_core.py
+++ b/tests/components/quota/test_core.py
@@ -283,3 +283,16 @@
     ledger = make_ledger(rate=0.0)
     assert ledger.charge("org", 10**9, now_ms=0) is None
     assert ledger.charge("unknown", 10**9, now_ms=0) is None
+
+
+def test_uptime_of_a_new_peer_does_not_delay_its_becoming_stale() -> None:
+    ledger = make_ledger()
+    used = {short_hash("org"): 0}
+    for now_ms in range(30_000, 31_000, 100):
+        ledger.apply_peer_usage("peer", used, uptime_ms=now_ms, now_ms=now_ms)
+    before = ledger.remaining_tokens("org", now_ms=30_900)
+    ledger.charge("org", 0, now_ms=31_600)
+    after = ledger.remaining_tokens("org", now_ms=31_600)
+    assert before is not None
+    assert after is not None
+    assert after <= before / 2
