Let new requests not overtake a stream that is resumed

Cause: the order by expected work put a long stream that goes on at another target behind new short requests of its rank, although its caller disconnects after two seconds without an event.

Tested: the new test failed before.

--- a/pistachiohaven/components/placement/_order.py
+++ b/pistachiohaven/components/placement/_order.py
@@ -42,7 +42,10 @@
     """Return the sort key of a queue: rank, late or not, arrival plus expected work.
 
     Short requests overtake long ones, so that more are served while there are too few
-    slots. A long request is overtaken for no longer than its own work takes.
+    slots. A long request is overtaken for no longer than its own work takes, and a
+    stream that is resumed not at all: its caller disconnects after a short gap.
     """
-    is_late = now_ms > job.first_byte_due_ms and not job.has_response_started
+    if job.has_response_started:
+        return (job.rank, False, job.arrived_ms)
+    is_late = now_ms > job.first_byte_due_ms
     return (job.rank, is_late, job.arrived_ms + speed.expected_work_ms(job))
--- a/tests/components/placement/test_scheduler.py
+++ b/tests/components/placement/test_scheduler.py
@@ -372,3 +372,14 @@
         entries["w"].update_peer_queue(peer, [], now_ms=100)
     assert len(placed(entries["w"], now_ms=100)) == 3 * (7 - 2)
     assert len(placed(entries["x"], now_ms=START_SHARE_MS)) == 3 * (7 - 2)
+
+
+def test_resumed_stream_is_not_overtaken_by_shorter_requests() -> None:
+    scheduler = make_scheduler(target("a", slots=1))
+    fill(scheduler, 1)
+    scheduler.submit(
+        job("resumed", output_tokens=2_000, has_response_started=True), now_ms=100
+    )
+    scheduler.submit(job("short", at_ms=100, output_tokens=10), now_ms=100)
+    end(scheduler, "fill-0", now_ms=120)
+    assert placed(scheduler, now_ms=120) == ["resumed"]
