Compare the order by work with the order of arrival in its test

The bound of 0.1 above the share of the work was chosen after the measured figures were seen. It is replaced by the target of the issue: of the requests that are lost in the order of arrival, half are served.

--- a/tests/components/placement/test_order.py
+++ b/tests/components/placement/test_order.py
@@ -15,6 +15,7 @@
 SLOTS = 7
 TARGETS = 4
 TOKEN_MS = 4.0
+MEAN_TOKENS = 270
 LOAD = 1.5
 STEP_MS = 20
 
@@ -27,14 +28,18 @@
     longest_share: float
 
 
-def replay(seed: int, length_ms: int = 40_000) -> Served:
-    """Send `LOAD` times the work that the slots can do, with log-normal lengths."""
+def replay(seed: int, *, is_length_known: bool, length_ms: int = 40_000) -> Served:
+    """Send `LOAD` times the work that the slots can do, with log-normal lengths.
+
+    If the lengths are not known, all requests are expected to be equally long, so that
+    they are served in the order of arrival.
+    """
     rng = random.Random(seed)
     scheduler = Scheduler()
     scheduler.configure({"p": POOL})
     for number in range(TARGETS):
         scheduler.put_target(make_target(f"i-{number}"))
-    mean_work_ms = 270 * TOKEN_MS
+    mean_work_ms = MEAN_TOKENS * TOKEN_MS
     requests_per_step = LOAD * SLOTS * TARGETS * STEP_MS / mean_work_ms
     lengths: list[int] = []
     placed: list[int] = []
@@ -47,12 +52,14 @@
             load.record_completed(request_id, events=1, tokens=0, now_ms=now_ms)
         while rng.random() < requests_per_step / (1 + requests_per_step):
             tokens = min(int(rng.lognormvariate(4.9, 1.2)) + 1, 2_800)
-            job = make_job(len(lengths), tokens, now_ms=now_ms)
+            expected_tokens = tokens if is_length_known else MEAN_TOKENS
+            job = make_job(len(lengths), expected_tokens, now_ms=now_ms)
             lengths.append(tokens)
             scheduler.submit(job, now_ms=now_ms)
         for decision in scheduler.schedule(now_ms=now_ms):
             if isinstance(decision, Placement):
-                tokens = decision.job.output_tokens
+                number = int(decision.job.request_id.removeprefix("r-"))
+                tokens = lengths[number]
                 placed.append(tokens)
                 end_ms = now_ms + int(tokens * TOKEN_MS)
                 heapq.heappush(ends, (end_ms, decision.job.request_id, decision.target))
@@ -95,11 +102,11 @@
 
 @pytest.mark.parametrize("seed", [1, 2, 3])
 def test_short_requests_go_first_and_long_ones_do_not_starve(seed: int) -> None:
-    """More requests are served than the slots could in the order of arrival.
+    """Half of the requests that are lost in the order of arrival are served.
 
-    In that order, the served share of all requests is that of the work, 1 / `LOAD`. The
-    longest tenth must be served at least half as often as all.
+    The longest tenth must be served at least half as often as all.
     """
-    served = replay(seed)
-    assert served.all_share > 1 / LOAD + 0.1
+    in_order = replay(seed, is_length_known=False)
+    served = replay(seed, is_length_known=True)
+    assert 1 - served.all_share <= (1 - in_order.all_share) / 2
     assert served.longest_share >= 0.5 * served.all_share
