Log free slots and urgent placements with each refusal

The refusal lines could not tell apart why callers of the last rank were refused: engines full of more urgent work, the estimate on arrival, or slots left to peers. They now name the free slots, the requests ahead at peers, the share of more urgent placements and the time waited.

--- a/pistachiohaven/components/gateway/_request.py
+++ b/pistachiohaven/components/gateway/_request.py
@@ -342,7 +342,11 @@
             pool=refusal.job.pool,
             rank=refusal.job.rank,
             waiting=refusal.waiting,
+            waited_ms=self._state.clock.now_ms() - refusal.job.arrived_ms,
             expected_wait_ms=round(refusal.expected_wait_ms),
+            free_slots=refusal.free_slots,
+            peer_requests_ahead=refusal.peer_requests_ahead,
+            more_urgent_share=round(refusal.more_urgent_share, 2),
             retry_after_ms=refusal.retry_after_ms,
             config_version=self._call.config_version,
         )
--- a/pistachiohaven/components/placement/_job.py
+++ b/pistachiohaven/components/placement/_job.py
@@ -53,7 +53,9 @@
     """Decision to refuse a job; the caller may retry after `retry_after_ms`.
 
     `waiting` is the length of the pool's queue, and `expected_wait_ms` the expected
-    wait of the job.
+    wait of the job. Of the pool's `free_slots`, `peer_requests_ahead` are left to more
+    urgent requests that wait at peers; `more_urgent_share` (0 to 1) is the share of
+    recent placements that were more urgent than the job.
     """
 
     job: Job
@@ -61,6 +63,9 @@
     retry_after_ms: int
     waiting: int
     expected_wait_ms: float
+    free_slots: int
+    peer_requests_ahead: int
+    more_urgent_share: float
 
 
 Decision = Placement | Refusal
--- a/pistachiohaven/components/placement/_scheduler.py
+++ b/pistachiohaven/components/placement/_scheduler.py
@@ -374,6 +374,11 @@
             ),
             waiting=self.waiting(job.pool),
             expected_wait_ms=wait_ms,
+            free_slots=self._free_slots(job.pool, now_ms=now_ms),
+            peer_requests_ahead=self._peer_requests_ahead(
+                job.pool, job.rank, now_ms=now_ms
+            ),
+            more_urgent_share=self._more_urgent_share(job.pool, job.rank),
         )
 
     def _pool_loads(self, pool: str) -> list[TargetLoad]:
