--- /dev/null
+++ b/tests/components/placement/simulation.py
@@ -0,0 +1,201 @@
+"""Simulation of an overload on several schedulers that report with a delay."""
+
+import heapq
+import itertools
+import random
+from collections import Counter, defaultdict
+from dataclasses import dataclass, field
+from statistics import fmean
+
+from pistachiohaven.components.exchange import short_hash
+from pistachiohaven.components.fleet import Pool, Target
+from pistachiohaven.components.placement import Job, PeerLoad, Placement, Scheduler
+
+POOL = Pool(
+    name="p", is_engine=True, connection_limit=100, cache_tokens=500_000, event_tokens=6
+)
+SLOTS = 12
+SERVICE_MS = 1_200
+MAX_WAIT_MS = 3_200
+STEP_MS = 20
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class RequestClass:
+    """Requests of one rank; they run for `service_ms` on average."""
+
+    rank: int
+    prompt_tokens: int = 600
+    output_tokens: int = 200
+    service_ms: int = SERVICE_MS
+
+
+EQUAL_CLASSES = tuple(RequestClass(rank=rank) for rank in range(3))
+
+
+@dataclass(kw_only=True)
+class Outcome:
+    """Used and overcommitted shares of all slots over time.
+
+    `placed` and `requested` count placements and requests by rank, and `placed_at_ms`
+    and `requested_at_ms` are their times.
+    """
+
+    used_share: float = 0.0
+    overcommitted_share: float = 0.0
+    placed: Counter[int] = field(default_factory=Counter)
+    requested: Counter[int] = field(default_factory=Counter)
+    placed_at_ms: dict[int, list[int]] = field(
+        default_factory=lambda: defaultdict(list)
+    )
+    requested_at_ms: dict[int, list[int]] = field(
+        default_factory=lambda: defaultdict(list)
+    )
+
+    def served_share(self, rank: int) -> float:
+        """Return the share of the requests of `rank` that were placed."""
+        return self.placed[rank] / self.requested[rank]
+
+
+@dataclass(kw_only=True)
+class Overload:
+    """Simulation of entries that share targets.
+
+    Each entry reports to each peer once per `report_interval_ms`. `load` is the ratio
+    of the requested slots to the existing ones. Requests are of `classes` in turn.
+    """
+
+    entries: int
+    targets: int
+    report_interval_ms: int
+    load: float
+    classes: tuple[RequestClass, ...] = EQUAL_CLASSES
+    seed: int = 1
+
+    def __post_init__(self) -> None:
+        self.rng = random.Random(self.seed)
+        self.names = [f"gateway-{number}" for number in range(self.entries)]
+        self.schedulers = {name: Scheduler() for name in self.names}
+        for scheduler in self.schedulers.values():
+            scheduler.configure({"p": POOL})
+            for number in range(self.targets):
+                scheduler.put_target(make_target(f"i-{number}"))
+        self.running: Counter[str] = Counter()
+        self.pending_ends: list[tuple[int, int, str, str, str]] = []
+        self.outcome = Outcome()
+
+    def run(self, length_ms: int) -> Outcome:
+        """Run the simulation; measure slots after the first quarter of the time."""
+        mean_service_ms = fmean(each.service_ms for each in self.classes)
+        requests_per_step = (
+            self.load * self.targets * SLOTS * STEP_MS / mean_service_ms / self.entries
+        )
+        request_numbers = itertools.count()
+        steps = 0
+        for now_ms in range(0, length_ms, STEP_MS):
+            self._end_requests(now_ms)
+            for name in self.names:
+                self._report_to_peers(name, now_ms)
+                while self.rng.random() < requests_per_step / (1 + requests_per_step):
+                    self._submit(name, next(request_numbers), now_ms)
+                self._schedule(name, now_ms)
+            if now_ms >= length_ms / 4:
+                steps += 1
+                self._measure()
+        slot_steps = steps * self.targets * SLOTS
+        self.outcome.used_share /= slot_steps
+        self.outcome.overcommitted_share /= slot_steps
+        return self.outcome
+
+    def _submit(self, name: str, number: int, now_ms: int) -> None:
+        request_class = self.classes[number % len(self.classes)]
+        rank = request_class.rank
+        self.outcome.requested[rank] += 1
+        self.outcome.requested_at_ms[rank].append(now_ms)
+        job = Job(
+            request_id=f"r-{number}",
+            pool="p",
+            organisation="org",
+            rank=rank,
+            prompt_tokens=request_class.prompt_tokens,
+            shared_tokens=0,
+            output_tokens=request_class.output_tokens,
+            session_part="",
+            arrived_ms=now_ms,
+            first_byte_due_ms=now_ms + 400,
+            wait_limit_ms=now_ms + MAX_WAIT_MS,
+            deadline_ms=now_ms + 12_000,
+        )
+        self.schedulers[name].submit(job, now_ms=now_ms)
+
+    def _schedule(self, name: str, now_ms: int) -> None:
+        for decision in self.schedulers[name].schedule(now_ms=now_ms):
+            if not isinstance(decision, Placement):
+                continue
+            target = decision.target
+            self.running[target] += 1
+            self.outcome.placed[decision.job.rank] += 1
+            self.outcome.placed_at_ms[decision.job.rank].append(now_ms)
+            # Requests beyond the slots of a target slow down the later ones.
+            overload_ratio = max(self.running[target] - SLOTS, 0) / SLOTS
+            number = int(decision.job.request_id.removeprefix("r-"))
+            service_ms = self.classes[number % len(self.classes)].service_ms
+            duration_ms = int(
+                service_ms * (0.5 + self.rng.random()) * (1 + overload_ratio)
+            )
+            end = (now_ms + duration_ms, self.rng.random())
+            request_id = decision.job.request_id
+            heapq.heappush(
+                self.pending_ends, (end[0], hash(end), name, target, request_id)
+            )
+
+    def _end_requests(self, now_ms: int) -> None:
+        while self.pending_ends and self.pending_ends[0][0] <= now_ms:
+            _, _, name, target, request_id = heapq.heappop(self.pending_ends)
+            self.running[target] -= 1
+            load = self.schedulers[name].load(target)
+            assert load is not None
+            load.record_completed(request_id, events=1, tokens=0, now_ms=now_ms)
+            self._schedule(name, now_ms)
+
+    def _report_to_peers(self, name: str, now_ms: int) -> None:
+        """Send the load and queue lengths of `name` to the peers that are due."""
+        sender = self.schedulers[name]
+        report_steps = self.report_interval_ms // STEP_MS
+        own_index = self.names.index(name)
+        for number, peer in enumerate(self.names):
+            if peer == name or (number + own_index + now_ms // STEP_MS) % report_steps:
+                continue
+            receiver = self.schedulers[peer]
+            for load in sender.loads():
+                peer_load = PeerLoad(
+                    running=load.own_running,
+                    prefill_tokens=0,
+                    token_ms=None,
+                    prefill_tokens_per_ms=None,
+                    reported_ms=now_ms,
+                )
+                receiver.update_peer_load(name, load.target.name, peer_load)
+            waiting = [
+                (short_hash(pool), rank, count)
+                for pool, rank, count in sender.waiting_by_rank()
+            ]
+            receiver.update_peer_queue(name, waiting, now_ms=now_ms)
+
+    def _measure(self) -> None:
+        for number in range(self.targets):
+            running = self.running[f"i-{number}"]
+            self.outcome.used_share += min(running, SLOTS)
+            self.outcome.overcommitted_share += max(running - SLOTS, 0)
+
+
+def make_target(name: str) -> Target:
+    return Target(
+        name=name,
+        pool="p",
+        address="10.0.0.1:80",
+        data_centre="z",
+        slots=SLOTS,
+        leaving=False,
+        started_ms=1,
+    )
