Reserve slots for ranks that are hardly served

Cause: ranks were strict without a lower bound. While ranks 8 and 9 asked for more than all slots (11 engines with 9 to 11 of 11 in use), each freed slot went to them, and the estimate on arrival, which only placements change, kept rank 10 out of the queue (1,153 of 2,059 refusals). Class of fault: starvation under strict priority.

A rank whose recent requests were served less than 0.75 times as often as those of every more urgent rank now gets a tenth of the slots that this gateway uses ahead of them, and its expected wait is that for these slots. Why this works: its short requests need little slot time, and since it stays below the served share of the urgent ranks no inversion follows; long requests are limited to that tenth of the slots.

--- a/pistachiohaven/components/gateway/_placer.py
+++ b/pistachiohaven/components/gateway/_placer.py
@@ -55,7 +55,7 @@
         A slot that it had already got is freed for the others.
         """
         self._waiters.pop(job, None)
-        self.scheduler.withdraw(job)
+        self.scheduler.withdraw(job, now_ms=self._clock.now_ms())
         decision = self._decisions.pop(job, None)
         if decision is None or isinstance(decision, Refusal):
             return
--- a/pistachiohaven/components/gateway/_request.py
+++ b/pistachiohaven/components/gateway/_request.py
@@ -4,7 +4,7 @@
 
 import trio
 
-from pistachiohaven.components.placement import Job, Refusal
+from pistachiohaven.components.placement import Job, Placement, Refusal
 from pistachiohaven.components.retry import Failure, Resend, resend_after
 from pistachiohaven.const import MS_PER_S
 from pistachiohaven.core import Reason
@@ -96,7 +96,7 @@
                     decision.reason, decision.retry_after_ms
                 )
                 return
-            self._log_placed(decision.target, decision.waited_ms, decision.expected_ms)
+            self._log_placed(decision)
             result = await self._dispatch(decision.target)
             if isinstance(result, CompleteResponse):
                 await self._response.send_complete(result)
@@ -294,19 +294,22 @@
 
     # Logs
 
-    def _log_placed(self, target: str, waited_ms: int, expected_ms: float) -> None:
+    def _log_placed(self, placement: Placement) -> None:
         """Log a placement with the state it was based on and record its wait."""
         state = self._state
-        state.metrics.wait_s.labels(self._call.rank).observe(waited_ms / MS_PER_S)
-        load = state.scheduler.load(target)
+        state.metrics.wait_s.labels(self._call.rank).observe(
+            placement.waited_ms / MS_PER_S
+        )
+        load = state.scheduler.load(placement.target)
         state.log.info(
             "placed",
             request_id=self._call.head.attempt_id,
             route=self._call.route.name,
             rank=self._call.rank,
-            target=target,
-            waited_ms=waited_ms,
-            expected_ms=round(expected_ms),
+            target=placement.target,
+            waited_ms=placement.waited_ms,
+            expected_ms=round(placement.expected_ms),
+            has_reserved_slot=placement.has_reserved_slot,
             running=load.running(now_ms=state.clock.now_ms()) if load else 0,
             token_ms=round(load.token_ms, 2) if load else None,
             config_version=self._call.config_version,
@@ -347,6 +350,7 @@
             free_slots=refusal.free_slots,
             peer_requests_ahead=refusal.peer_requests_ahead,
             more_urgent_share=round(refusal.more_urgent_share, 2),
+            served_share=round(refusal.served_share, 2),
             retry_after_ms=refusal.retry_after_ms,
             config_version=self._call.config_version,
         )
--- a/pistachiohaven/components/placement/_job.py
+++ b/pistachiohaven/components/placement/_job.py
@@ -38,7 +38,8 @@
     """Decision to send a job to `target`.
 
     `waited_ms` is the time in the queue, `expected_ms` the expected duration at the
-    target, and `running` the number of other requests on it.
+    target, and `running` the number of other requests on it. `has_reserved_slot` is
+    True if the job went ahead of more urgent ones since its rank is served too rarely.
     """
 
     job: Job
@@ -46,6 +47,7 @@
     waited_ms: int
     expected_ms: float
     running: int
+    has_reserved_slot: bool
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
@@ -55,7 +57,8 @@
     `waiting` is the length of the pool's queue, and `expected_wait_ms` the expected
     wait of the job. Of the pool's `free_slots`, `peer_requests_ahead` are left to more
     urgent requests that wait at peers; `more_urgent_share` (0 to 1) is the share of
-    recent placements that were more urgent than the job.
+    recent placements that were more urgent than the job, and `served_share` that of the
+    recent requests of its rank that were placed.
     """
 
     job: Job
@@ -66,6 +69,7 @@
     free_slots: int
     peer_requests_ahead: int
     more_urgent_share: float
+    served_share: float
 
 
 Decision = Placement | Refusal
--- a/pistachiohaven/components/placement/_load.py
+++ b/pistachiohaven/components/placement/_load.py
@@ -91,6 +91,10 @@
         """Return the number of requests that this entry runs on the target."""
         return len(self._running)
 
+    def own_running_of_rank(self, rank: int) -> int:
+        """Return the number of this entry's requests of `rank` on the target."""
+        return sum(each.job.rank == rank for each in self._running.values())
+
     def own_prefill_tokens(self) -> int:
         """Return the prompt tokens of this entry's requests without a first event."""
         return sum(
--- a/pistachiohaven/components/placement/_scheduler.py
+++ b/pistachiohaven/components/placement/_scheduler.py
@@ -2,6 +2,7 @@
 
 from collections import Counter
 from dataclasses import dataclass, replace
+from statistics import fmean
 
 from pistachiohaven.components.exchange import short_hash
 from pistachiohaven.components.fleet import Pool, Target
@@ -11,6 +12,7 @@
 from ._job import Decision, Job, Placement, Refusal
 from ._load import PeerLoad, TargetLoad
 from ._order import measure_speed, scheduling_key
+from ._served import ServedShares
 from .const import (
     MAX_RETRY_AFTER_MS,
     MAX_URGENT_SHARE,
@@ -19,6 +21,7 @@
     MIN_STARTS_PER_MS,
     PEER_QUEUE_TTL_MS,
     RANK_EWMA_WEIGHT,
+    RESERVED_SLOT_SHARE,
     START_SHARE_MS,
     WAIT_CHECK_SHARE,
 )
@@ -37,8 +40,9 @@
 
     The most urgent rank is served first. Within a rank, requests that can still meet
     their first-byte target are served before late ones; otherwise a queue that once
-    grew would make every later request late, too. `name` is that of this entry, which
-    started at `started_ms`.
+    grew would make every later request late, too. A rank that is served much less often
+    than the more urgent ones gets a few slots ahead of them. `name` is that of this
+    entry, which started at `started_ms`.
     """
 
     def __init__(self, *, name: str = "", started_ms: int = 0) -> None:
@@ -51,6 +55,7 @@
         self._waiting: dict[str, list[Job]] = {}
         self._more_urgent_shares: dict[tuple[str, int], Ewma] = {}
         self._peer_queues: dict[str, _PeerQueue] = {}
+        self._served_shares = ServedShares()
 
     # Targets
 
@@ -144,13 +149,16 @@
         )
         if refusal is None:
             self._waiting.setdefault(job.pool, []).append(job)
+        else:
+            self._record_end(job, is_served=False, now_ms=now_ms)
         return refusal
 
-    def withdraw(self, job: Job) -> None:
-        """Remove a waiting job from its queue."""
+    def withdraw(self, job: Job, *, now_ms: int) -> None:
+        """Remove a job whose caller has left from its queue."""
         jobs = self._waiting.get(job.pool, [])
         if job in jobs:
             jobs.remove(job)
+            self._record_end(job, is_served=False, now_ms=now_ms)
 
     def schedule(self, *, now_ms: int) -> list[Decision]:
         """Place the jobs that get a slot and refuse those past their wait limit."""
@@ -173,10 +181,20 @@
 
         It is 0 if a usable target has a free slot. Otherwise it is lengthened by the
         share of recent placements of more urgent ranks, which would overtake the job.
+        A job with reserved slots waits at most for those of its own rank.
         """
         loads = self._usable_loads(job.pool, now_ms=now_ms)
         if any(load.has_free_slot(now_ms=now_ms) for load in loads):
             return 0.0
+        wait_ms = self._expected_shared_wait_ms(job, loads, now_ms=now_ms)
+        if not self._is_below_minimum(job, now_ms=now_ms):
+            return wait_ms
+        return min(wait_ms, self._expected_reserved_wait_ms(job, loads))
+
+    def _expected_shared_wait_ms(
+        self, job: Job, loads: list[TargetLoad], *, now_ms: int
+    ) -> float:
+        """Return the expected wait in ms for a slot that is not reserved."""
         starts_per_ms = sum(load.target.slots / load.service_ms for load in loads)
         requests_ahead = sum(
             1 for other in self._waiting.get(job.pool, ()) if other.rank <= job.rank
@@ -193,6 +211,16 @@
             / (1.0 - more_urgent_share)
         )
 
+    def _expected_reserved_wait_ms(self, job: Job, loads: list[TargetLoad]) -> float:
+        """Return the expected wait in ms for one of the slots reserved to the rank."""
+        jobs_ahead = sum(
+            other.rank == job.rank for other in self._waiting.get(job.pool, ())
+        )
+        work_ms = measure_speed(loads).expected_work_ms(job) or fmean(
+            load.service_ms for load in loads
+        )
+        return (jobs_ahead + 1) * work_ms / self._reserved_slots(job.pool)
+
     # Scheduling
 
     def _check_on_arrival(self, job: Job, *, now_ms: int) -> Refusal | None:
@@ -210,33 +238,77 @@
     def _schedule_pool(self, jobs: list[Job], *, now_ms: int) -> list[Decision]:
         """Decide about the jobs of one pool in their scheduling order.
 
-        Free slots are reserved for more urgent requests that wait at peers. A job that
-        stays in the queue keeps the slots from those behind it, unless it has excluded
-        targets: the free slots may be at those. Blocked jobs may still be refused.
+        Free slots are left to more urgent requests that wait at peers, except to jobs
+        with reserved slots. A job that stays in the queue keeps the slots from those
+        behind it, unless it has excluded targets: the free slots may be at those.
+        Blocked jobs may still be refused.
         """
         decisions: list[Decision] = []
         speed = measure_speed(self._pool_loads(jobs[0].pool))
         jobs.sort(key=lambda job: scheduling_key(job, speed, now_ms=now_ms))
         is_blocked = False
         free_slots = self._free_slots(jobs[0].pool, now_ms=now_ms)
-        for job in list(jobs):
-            requests_ahead = self._peer_requests_ahead(
-                job.pool, job.rank, now_ms=now_ms
+        reserved_jobs = self._jobs_with_reserved_slots(jobs, now_ms=now_ms)
+        first_jobs = set(reserved_jobs)
+        other_jobs = [job for job in jobs if job not in first_jobs]
+        for job in reserved_jobs + other_jobs:
+            has_reserved_slot = job in first_jobs
+            is_blocked = is_blocked or (
+                not has_reserved_slot
+                and free_slots
+                <= self._peer_requests_ahead(job.pool, job.rank, now_ms=now_ms)
             )
-            is_blocked = is_blocked or free_slots <= requests_ahead
             load = None if is_blocked else self._select_target(job, now_ms=now_ms)
             if load is not None:
-                decisions.append(self._place_job(job, load, now_ms=now_ms))
+                placement = self._place_job(
+                    job, load, has_reserved_slot=has_reserved_slot, now_ms=now_ms
+                )
+                decisions.append(placement)
                 jobs.remove(job)
                 free_slots -= 1
             elif self._is_past_wait_limit(job, now_ms=now_ms):
                 refusal = self._make_refusal(job, Reason.QUEUE_DEADLINE, now_ms=now_ms)
                 decisions.append(refusal)
                 jobs.remove(job)
-            else:
+                self._record_end(job, is_served=False, now_ms=now_ms)
+            elif not has_reserved_slot:
                 is_blocked = is_blocked or not job.excluded_targets
         return decisions
 
+    def _jobs_with_reserved_slots(self, jobs: list[Job], *, now_ms: int) -> list[Job]:
+        """Return the jobs that may take a slot ahead of more urgent ones, in order.
+
+        These are the first ones of each rank below its minimum served share, as many as
+        the rank has reserved slots that it does not use.
+        """
+        pool = jobs[0].pool
+        unused_slots = {
+            rank: self._reserved_slots(pool)
+            - sum(load.own_running_of_rank(rank) for load in self._pool_loads(pool))
+            for rank in {job.rank for job in jobs}
+            if self._served_shares.is_below_minimum(pool, rank, now_ms=now_ms)
+        }
+        reserved_jobs: list[Job] = []
+        for job in jobs:
+            if unused_slots.get(job.rank, 0) > 0:
+                unused_slots[job.rank] -= 1
+                reserved_jobs.append(job)
+        return reserved_jobs
+
+    def _reserved_slots(self, pool: str) -> int:
+        """Return how many slots this entry reserves to a rank below its minimum."""
+        own_running = sum(load.own_running for load in self._pool_loads(pool))
+        return max(int(RESERVED_SLOT_SHARE * own_running), 1)
+
+    def _is_below_minimum(self, job: Job, *, now_ms: int) -> bool:
+        return self._served_shares.is_below_minimum(job.pool, job.rank, now_ms=now_ms)
+
+    def _record_end(self, job: Job, *, is_served: bool, now_ms: int) -> None:
+        """Record whether the wait of `job` ended with a slot."""
+        self._served_shares.record(
+            job.pool, job.rank, is_served=is_served, now_ms=now_ms
+        )
+
     def _select_target(self, job: Job, *, now_ms: int) -> TargetLoad | None:
         """Return the target with a free slot where `job` is expected to end first."""
         loads = [
@@ -295,7 +367,9 @@
             )
         ]
 
-    def _place_job(self, job: Job, load: TargetLoad, *, now_ms: int) -> Placement:
+    def _place_job(
+        self, job: Job, load: TargetLoad, *, has_reserved_slot: bool, now_ms: int
+    ) -> Placement:
         """Record the placement of `job` and return it."""
         placement = Placement(
             job=job,
@@ -303,9 +377,11 @@
             waited_ms=now_ms - job.arrived_ms,
             expected_ms=load.expected_ms(job, now_ms=now_ms),
             running=load.running(now_ms=now_ms),
+            has_reserved_slot=has_reserved_slot,
         )
         load.record_sent(job, now_ms=now_ms)
         self._record_placement_rank(job.pool, job.rank)
+        self._record_end(job, is_served=True, now_ms=now_ms)
         return placement
 
     def _is_past_wait_limit(self, job: Job, *, now_ms: int) -> bool:
@@ -379,6 +455,7 @@
                 job.pool, job.rank, now_ms=now_ms
             ),
             more_urgent_share=self._more_urgent_share(job.pool, job.rank),
+            served_share=self._served_shares.get(job.pool, job.rank),
         )
 
     def _pool_loads(self, pool: str) -> list[TargetLoad]:
--- a/pistachiohaven/components/placement/const.py
+++ b/pistachiohaven/components/placement/const.py
@@ -87,6 +87,18 @@
 MAX_URGENT_SHARE: Final = 0.9
 """Largest share of more urgent placements that is used to lengthen an expected wait."""
 
+MIN_SERVED_RATIO: Final = 0.75
+"""Served share of a rank, relative to more urgent ranks, below which it gets slots."""
+
+RESERVED_SLOT_SHARE: Final = 0.1
+"""Share of its running requests for which an entry reserves slots to such a rank."""
+
+SERVED_EWMA_WEIGHT: Final = 0.05
+"""Weight of the newest request in the served share of its rank; 20 requests."""
+
+SERVED_SHARE_TTL_MS: Final = 5_000
+"""Time after its last request from which a rank's served share is ignored."""
+
 MIN_RETRY_AFTER_MS: Final = 100
 MAX_RETRY_AFTER_MS: Final = 4_000
 """Bounds of the time after which a refused caller is asked to retry."""
--- a/tests/components/placement/test_starved_rank.py
+++ b/tests/components/placement/test_starved_rank.py
@@ -29,7 +29,6 @@
     return placed / requested
 
 
-@pytest.mark.known_red
 @pytest.mark.parametrize("seed", [1, 2, 3])
 @pytest.mark.parametrize("load", [1.5, 2.5])
 def test_last_rank_is_not_starved(seed: int, load: float) -> None:
