Log the rate limits that targets name

Two engines got up to 52 requests in 4 s after they had named limits of 2.5 and 3.8 a second, and no log line showed who had been told when. A gateway now reads the header of each response and logs changes (rate_limit_changed: limit, before, source, age, share).

--- a/pistachiohaven/components/gateway/_dispatch.py
+++ b/pistachiohaven/components/gateway/_dispatch.py
@@ -112,6 +112,7 @@
         self._clock: Clock = state.clock
         self._sink = sink
         self._stall_monitor = state.stall_monitor
+        self._observe_rate_limit = state.observe_rate_limit
         self._stall_detector = StallDetector(
             request_id=call.head.attempt_id,
             load=load,
@@ -213,6 +214,10 @@
             return FailedDispatch(
                 failure=Failure.NO_ANSWER, detail=rejection_detail, has_responded=True
             )
+        if head.status != platform.MISDIRECTED:
+            self._observe_rate_limit(
+                self._load.target.name, head.headers, sent_ms=now_ms
+            )
         if head.status in SUCCESS_STATUSES and call.route.kind is RequestKind.STREAM:
             return await self._forward_stream(connection, head)
         return await self._read_complete(connection, head)
--- a/pistachiohaven/components/gateway/_state.py
+++ b/pistachiohaven/components/gateway/_state.py
@@ -16,6 +16,7 @@
 )
 from pistachiohaven.components.placement import Scheduler
 from pistachiohaven.components.quota import QuotaLedger, QuotaTolerance
+from pistachiohaven.components.rate_limit import LimitChange, RateLimits
 from pistachiohaven.components.retry import WindowBudget
 from pistachiohaven.config import GatewaySettings
 from pistachiohaven.const import MS_PER_S
@@ -44,7 +45,12 @@
         self.catalogue = Catalogue()
         self.targets = TargetList()
         self.started_ms = clock.now_ms()
-        self.scheduler = Scheduler(name=self.incarnation, started_ms=self.started_ms)
+        self.rate_limits = RateLimits(name=settings.exchange_address)
+        self.scheduler = Scheduler(
+            name=self.incarnation,
+            started_ms=self.started_ms,
+            rate_limits=self.rate_limits,
+        )
         self.placer = Placer(scheduler=self.scheduler, clock=clock)
         self.stall_monitor = StallMonitor(clock=clock)
         self.quota = QuotaLedger(
@@ -112,6 +118,38 @@
             )
         return self._retry_budgets[pool]
 
+    # Rate limits of targets
+
+    def observe_rate_limit(
+        self, target: str, headers: platform.Headers, *, sent_ms: int
+    ) -> None:
+        """Apply the rate limit that a response of `target` names, or that it has none.
+
+        `sent_ms` is the monotonic time at which the request was sent.
+        """
+        decoded = platform.decode_rate_limit(headers)
+        if isinstance(decoded, Err):
+            self.log.info("rate_limit_rejected", target=target, error=decoded.err_value)
+            return
+        change = self.rate_limits.observe(
+            target, decoded.ok_value, sent_ms=sent_ms, now_ms=self.clock.now_ms()
+        )
+        self._log_rate_limit(change)
+
+    def _log_rate_limit(self, change: LimitChange | None) -> None:
+        if change is None:
+            return
+        self.log.info(
+            "rate_limit_changed",
+            target=change.target,
+            requests_per_s=change.requests_per_s,
+            before=change.previous_per_s,
+            source=change.source,
+            age_ms=change.age_ms,
+            share_per_s=change.share_per_s,
+            entries=change.entries,
+        )
+
     # Changes
 
     def apply_changes(
--- a/pistachiohaven/components/placement/_scheduler.py
+++ b/pistachiohaven/components/placement/_scheduler.py
@@ -6,6 +6,7 @@
 
 from pistachiohaven.components.exchange import short_hash
 from pistachiohaven.components.fleet import Pool, Target
+from pistachiohaven.components.rate_limit import RateLimits
 from pistachiohaven.core import Reason
 from pistachiohaven.helpers import Ewma, rendezvous_order
 
@@ -42,11 +43,18 @@
     their first-byte target are served before late ones; otherwise a queue that once
     grew would make every later request late, too. A rank that is served much less often
     than the more urgent ones gets a few slots ahead of them. `name` is that of this
-    entry, which started at `started_ms`.
+    entry, which started at `started_ms`. `rate_limits` are those that targets name.
     """
 
-    def __init__(self, *, name: str = "", started_ms: int = 0) -> None:
+    def __init__(
+        self,
+        *,
+        name: str = "",
+        started_ms: int = 0,
+        rate_limits: RateLimits | None = None,
+    ) -> None:
         self._name = name
+        self._rate_limits = rate_limits or RateLimits()
         self._started_ms = started_ms
         self._expected_peers = 0
         self._loads: dict[str, TargetLoad] = {}
@@ -70,6 +78,7 @@
         if load is not None and load.target.incarnation == target.incarnation:
             load.target = target
             return
+        self._rate_limits.drop_target(target.name)
         pool = self._pools.get(target.pool)
         self._loads[target.name] = TargetLoad(
             target=target,
@@ -90,6 +99,7 @@
             removed_load = self._loads.get(removed)
             if removed_load is None or not removed_load.own_running:
                 self._removed_targets.discard(removed)
+                self._rate_limits.drop_target(removed)
                 self._loads.pop(removed, None)
 
     def load(self, name: str) -> TargetLoad | None:
--- a/pistachiohaven/platform/__init__.py
+++ b/pistachiohaven/platform/__init__.py
@@ -3,7 +3,9 @@
 from ._calls import (
     CallHead,
     CallHeadError,
+    Headers,
     decode_call,
+    decode_rate_limit,
     encode_dispatch,
     encode_refusal,
     find_attempt_id,
@@ -22,16 +24,18 @@
     decode_item,
 )
 from ._targets import TargetError, decode_target
-from .const import CONFIG_KEY, READINESS_PATH, TARGETS_PREFIX
+from .const import CONFIG_KEY, MISDIRECTED, READINESS_PATH, TARGETS_PREFIX
 
 __all__ = [
     "CONFIG_KEY",
+    "MISDIRECTED",
     "READINESS_PATH",
     "TARGETS_PREFIX",
     "CallHead",
     "CallHeadError",
     "ConfigurationError",
     "Deletion",
+    "Headers",
     "Item",
     "Snapshot",
     "StoreClient",
@@ -41,6 +45,7 @@
     "decode_changes",
     "decode_configuration",
     "decode_item",
+    "decode_rate_limit",
     "decode_target",
     "encode_dispatch",
     "encode_refusal",
--- a/pistachiohaven/platform/_calls.py
+++ b/pistachiohaven/platform/_calls.py
@@ -1,5 +1,6 @@
 """Decoding and encoding of the heads of requests and responses."""
 
+import math
 from dataclasses import dataclass
 from enum import StrEnum
 
@@ -206,6 +207,23 @@
     return None
 
 
+def decode_rate_limit(headers: Headers) -> Result[float | None, str]:
+    """Return the rate limit of the target that responds, None if it names none.
+
+    The limit is in requests per second, over all entries.
+    """
+    text = next((value for name, value in headers if name == wire.RATE_LIMIT), None)
+    if text is None:
+        return Ok(None)
+    try:
+        requests_per_s = float(text)
+    except ValueError:
+        requests_per_s = math.nan
+    if not math.isfinite(requests_per_s) or requests_per_s < 0:
+        return Err(f"not a rate: {text.decode('latin-1')!r}")
+    return Ok(requests_per_s)
+
+
 def is_stamped(headers: Headers) -> bool:
     """Return True if a response has the signature of its target."""
     return any(name == wire.STAMP and value for name, value in headers)
--- a/pistachiohaven/platform/const.py
+++ b/pistachiohaven/platform/const.py
@@ -37,6 +37,9 @@
 PROMPT_PARTS: Final = b"pistachiohaven-prompt-prefix"
 """Header with the parts of the prompt in order, as `id:tokens,id:tokens`."""
 
+RATE_LIMIT: Final = b"server-limit"
+"""Header with the requests per second that a target takes from all entries together."""
+
 STAMP: Final = b"pistachiohaven-server-stamp"
 """Header with the signature of the target that responds."""
 
--- a/tests/platform/test_calls.py
+++ b/tests/platform/test_calls.py
@@ -1,12 +1,13 @@
 """Tests of the decoding and encoding of request and response heads."""
 
 import pytest
-from result import Err, Ok
+from result import Err, Ok, Result
 
 from pistachiohaven.platform import (
     CallHead,
     CallHeadError,
     decode_call,
+    decode_rate_limit,
     encode_dispatch,
     encode_refusal,
     find_attempt_id,
@@ -143,3 +144,20 @@
 
 def test_empty_signature_does_not_count_as_one() -> None:
     assert not is_stamped([(b"pistachiohaven-server-stamp", b"")])
+
+
+@pytest.mark.parametrize(
+    ("headers", "expected"),
+    [
+        ([], Ok(None)),
+        ([(b"server-limit", b"3.8")], Ok(3.8)),
+        ([(b"server-limit", b"0")], Ok(0.0)),
+        ([(b"server-limit", b"few")], Err("not a rate: 'few'")),
+        ([(b"server-limit", b"-1")], Err("not a rate: '-1'")),
+        ([(b"server-limit", b"inf")], Err("not a rate: 'inf'")),
+    ],
+)
+def test_rate_limit_is_decoded(
+    headers: list[tuple[bytes, bytes]], expected: Result[float | None, str]
+) -> None:
+    assert decode_rate_limit(headers) == expected
