Keep the rate limits that targets name over all gateways

Class of fault: a word of a target that changes what it takes is dropped at the border.

Gateways now keep the newest word of each target, pass it on in digests and updates with its age, and use fixed shares of the limit from a bucket that begins empty. Shares of the entries that a gateway knows add up to the limit, so no message is needed to keep the sum; low limits are left to a few entries in rendezvous order, since each may save one request. The scheduler takes a target without a request left for full, so that others take the rest.

New tests send a limit through a gateway and between two of them.

--- a/pistachiohaven/components/exchange/_core.py
+++ b/pistachiohaven/components/exchange/_core.py
@@ -110,6 +110,10 @@
         """Return the number of entries that may run, including this one."""
         return 1 + len(self._peers)
 
+    def entry_addresses(self) -> frozenset[str]:
+        """Return the addresses of the entries that may run, including this one."""
+        return frozenset({self._self_address, *self._peers})
+
     def handle_digest(self, digest: Digest, *, now_ms: int) -> PeerEvents:
         """Apply a digest; ignore one that is old, repeated or sent by this entry."""
         if digest.sender.address == self._self_address:
--- a/pistachiohaven/components/exchange/_messages.py
+++ b/pistachiohaven/components/exchange/_messages.py
@@ -41,6 +41,18 @@
     count: int
 
 
+class RateLimitReport(msgspec.Struct, array_like=True, frozen=True, kw_only=True):
+    """Rate limit that a target named to some entry, `age_ms` milliseconds ago.
+
+    `target` is the hash of the name. `requests_per_s` is None if the target said that
+    it no longer has a limit.
+    """
+
+    target: int
+    requests_per_s: float | None
+    age_ms: int
+
+
 class Digest(msgspec.Struct, array_like=True, frozen=True, kw_only=True, tag=0):
     """Complete state of one entry; it replaces that of all earlier messages.
 
@@ -49,7 +61,7 @@
     of the organisation's name. `revision` is that of the newest store change that the
     sender has applied. `members` are some of the live entries. `window_tokens` is the
     usage of all entries within the quota window, as known to the sender; only peers
-    that do not know the sender yet get it.
+    that do not know the sender yet get it. `rate_limits` are all that it knows.
     """
 
     sender: Member
@@ -64,6 +76,7 @@
     waiting: tuple[QueueReport, ...]
     used_tokens: dict[int, int]
     window_tokens: dict[int, int] | None = None
+    rate_limits: tuple[RateLimitReport, ...] = ()
 
 
 class Update(msgspec.Struct, array_like=True, frozen=True, kw_only=True, tag=1):
@@ -72,8 +85,8 @@
     `sender` is the hash of the incarnation named in the sender's digests. `running` and
     `prefill` have one byte per target, ordered by name: the number of requests, and
     their prompt tokens in steps of `PREFILL_STEP_TOKENS`.
-    `targets` is the hash of the list of target names. `used_tokens` has only the values
-    that changed recently.
+    `targets` is the hash of the list of target names. `used_tokens` and
+    `rate_limits` have only the values that changed recently.
     """
 
     sender: int
@@ -85,6 +98,7 @@
     prefill: bytes
     waiting: tuple[QueueReport, ...]
     used_tokens: dict[int, int]
+    rate_limits: tuple[RateLimitReport, ...] = ()
 
 
 class DigestRequest(msgspec.Struct, array_like=True, frozen=True, kw_only=True, tag=2):
--- a/pistachiohaven/components/gateway/_peers.py
+++ b/pistachiohaven/components/gateway/_peers.py
@@ -13,6 +13,7 @@
     Member,
     PeerEvents,
     QueueReport,
+    RateLimitReport,
     TargetReport,
     Update,
     decode_datagram,
@@ -28,6 +29,7 @@
     PREFILL_STEP_TOKENS,
 )
 from pistachiohaven.components.placement import PeerLoad, TargetLoad
+from pistachiohaven.components.rate_limit import LimitReport
 from pistachiohaven.const import MS_PER_S
 
 from ._state import GatewayState
@@ -73,6 +75,7 @@
         expected_peers = state.exchange.entry_count() - 1
         state.quota.set_expected_peers(expected_peers)
         state.scheduler.set_expected_peers(expected_peers)
+        state.rate_limits.set_entries(state.exchange.entry_addresses(), now_ms=now_ms)
         self._sequence += 1
         self._record_usage()
         update = b""
@@ -84,7 +87,8 @@
                 )
                 datagram = encode_datagram(digest)
             else:
-                datagram = update = update or encode_datagram(self._build_update())
+                update = update or encode_datagram(self._build_update(now_ms=now_ms))
+                datagram = update
             sent_bytes += len(datagram)
             await self._send_datagram(datagram, recipient.peer.member.address)
         addresses, self._digest_request_addresses = (
@@ -139,9 +143,10 @@
             window_tokens=state.quota.window_usage_by_hash(now_ms=now_ms)
             if has_history
             else None,
+            rate_limits=self._rate_limit_reports(changed_only=False, now_ms=now_ms),
         )
 
-    def _build_update(self) -> Update:
+    def _build_update(self, *, now_ms: int) -> Update:
         """Return the loads of this gateway and the token counts that changed lately.
 
         Running requests and prompt tokens are one byte per target, in the order of the
@@ -167,6 +172,22 @@
                 if self._sequence - changed_sequence <= changed_rounds
                 and organisation_hash in self._used_tokens
             },
+            rate_limits=self._rate_limit_reports(changed_only=True, now_ms=now_ms),
+        )
+
+    def _rate_limit_reports(
+        self, *, changed_only: bool, now_ms: int
+    ) -> tuple[RateLimitReport, ...]:
+        reports = self._state.rate_limits.reports(
+            changed_only=changed_only, now_ms=now_ms
+        )
+        return tuple(
+            RateLimitReport(
+                target=short_hash(report.target),
+                requests_per_s=report.requests_per_s,
+                age_ms=report.age_ms,
+            )
+            for report in reports
         )
 
     def _sorted_loads(self) -> list[TargetLoad]:
@@ -288,6 +309,8 @@
         state.quota.apply_peer_usage(
             peer.incarnation, message.used_tokens, uptime_ms=uptime_ms, now_ms=now_ms
         )
+        if message.rate_limits:
+            self._apply_rate_limits(message.rate_limits, peer=peer.member.name)
         waiting = [
             (queue_report.pool, queue_report.rank, queue_report.count)
             for queue_report in message.waiting
@@ -296,6 +319,26 @@
         if state.scheduler.waiting():
             state.placer.schedule_waiting()
 
+    def _apply_rate_limits(
+        self, reports: tuple[RateLimitReport, ...], *, peer: str
+    ) -> None:
+        """Apply the rate limits of targets that a peer passed on."""
+        names_by_hash = {
+            short_hash(load.target.name): load.target.name
+            for load in self._state.scheduler.loads()
+        }
+        for report in reports:
+            target = names_by_hash.get(report.target)
+            if target is not None:
+                self._state.apply_rate_limit_report(
+                    LimitReport(
+                        target=target,
+                        requests_per_s=report.requests_per_s,
+                        age_ms=report.age_ms,
+                    ),
+                    peer=peer,
+                )
+
 
 def _prefill_steps(load: TargetLoad) -> int:
     """Return this gateway's unprocessed prompt tokens at a target.
--- a/pistachiohaven/components/gateway/_state.py
+++ b/pistachiohaven/components/gateway/_state.py
@@ -16,7 +16,7 @@
 )
 from pistachiohaven.components.placement import Scheduler
 from pistachiohaven.components.quota import QuotaLedger, QuotaTolerance
-from pistachiohaven.components.rate_limit import LimitChange, RateLimits
+from pistachiohaven.components.rate_limit import LimitChange, LimitReport, RateLimits
 from pistachiohaven.components.retry import WindowBudget
 from pistachiohaven.config import GatewaySettings
 from pistachiohaven.const import MS_PER_S
@@ -136,6 +136,13 @@
         )
         self._log_rate_limit(change)
 
+    def apply_rate_limit_report(self, report: LimitReport, *, peer: str) -> None:
+        """Apply the rate limit of a target that `peer` passed on."""
+        change = self.rate_limits.apply_report(
+            report, peer=peer, now_ms=self.clock.now_ms()
+        )
+        self._log_rate_limit(change)
+
     def _log_rate_limit(self, change: LimitChange | None) -> None:
         if change is None:
             return
--- a/pistachiohaven/components/placement/_load.py
+++ b/pistachiohaven/components/placement/_load.py
@@ -4,6 +4,8 @@
 from dataclasses import dataclass
 
 from pistachiohaven.components.fleet import Target
+from pistachiohaven.components.rate_limit import RateLimits
+from pistachiohaven.const import MS_PER_S
 from pistachiohaven.helpers import Ewma
 
 from ._job import Job
@@ -63,12 +65,20 @@
 class TargetLoad:
     """Running requests, measured speed and failures of one target incarnation.
 
-    `cache_tokens` is the size of an engine's KV cache. All times are monotonic
-    milliseconds.
+    `cache_tokens` is the size of an engine's KV cache. The target gets no more requests
+    than `rate_limits` allow. All times are monotonic milliseconds.
     """
 
-    def __init__(self, *, target: Target, is_engine: bool, cache_tokens: int) -> None:
+    def __init__(
+        self,
+        *,
+        target: Target,
+        is_engine: bool,
+        cache_tokens: int,
+        rate_limits: RateLimits,
+    ) -> None:
         self.target = target
+        self._rate_limits = rate_limits
         self.is_engine = is_engine
         self._cache_limit_tokens = int(cache_tokens * CACHE_MEMORY_SHARE)
         self._prompt_cache: OrderedDict[str, tuple[int, int]] = OrderedDict()
@@ -181,6 +191,18 @@
         """Return the mean ms per request, `DEFAULT_SERVICE_MS` while unknown."""
         return self._service_ms.get(DEFAULT_SERVICE_MS)
 
+    @property
+    def starts_per_ms(self) -> float:
+        """Return the rate at which requests can start, in requests per millisecond.
+
+        Of a target with a rate limit, it is at most this entry's share of it.
+        """
+        starts_per_ms = self.target.slots / self.service_ms
+        share_per_s = self._rate_limits.share_per_s(self.target.name)
+        if share_per_s is None:
+            return starts_per_ms
+        return min(starts_per_ms, share_per_s / MS_PER_S)
+
     @property
     def failed_share(self) -> float:
         """Return the share (0 to 1) of recent requests that failed."""
@@ -194,12 +216,15 @@
     # Availability and expected times
 
     def has_free_slot(self, *, now_ms: int) -> bool:
-        """Return True if the target is available and has a free slot.
+        """Return True if the target takes a request of this entry now.
 
-        A target that is probed after a failure takes one request at a time.
+        It is available, has a free slot, and its rate limit leaves a request. A target
+        that is probed after a failure takes one request at a time.
         """
         if self.target.leaving or now_ms < self._excluded_until_ms:
             return False
+        if self._allowed_requests(now_ms=now_ms) < 1:
+            return False
         if self._is_probing:
             return self.own_running == 0
         return self.running(now_ms=now_ms) < self.target.slots
@@ -210,6 +235,12 @@
             return 0
         return self.target.slots - self.running(now_ms=now_ms)
 
+    def usable_slots(self, *, now_ms: int) -> int:
+        """Return how many of the free slots the rate limit lets this entry use now."""
+        return min(
+            self.free_slots(now_ms=now_ms), self._allowed_requests(now_ms=now_ms)
+        )
+
     def own_freed_slots(self, *, now_ms: int) -> int:
         """Return the number of slots that this entry freed and has not reused yet.
 
@@ -263,6 +294,7 @@
         is_sole_prefill = self.own_prefill_tokens() == 0
         if self._freed_at_ms:
             self._freed_at_ms.popleft()
+        self._rate_limits.record_sent(self.target.name, now_ms=now_ms)
         self._running[job.request_id] = _Running(
             job=job,
             sent_ms=now_ms,
@@ -354,6 +386,11 @@
 
     # Estimates
 
+    def _allowed_requests(self, *, now_ms: int) -> int:
+        """Return how many requests the rate limit allows now, all slots without one."""
+        allowed = self._rate_limits.available_requests(self.target.name, now_ms=now_ms)
+        return self.target.slots if allowed is None else allowed
+
     def _live_peer_loads(self, *, now_ms: int) -> list[PeerLoad]:
         """Return the loads reported within `PEER_LOAD_TTL_MS`."""
         return [
--- a/pistachiohaven/components/placement/_scheduler.py
+++ b/pistachiohaven/components/placement/_scheduler.py
@@ -84,6 +84,7 @@
             target=target,
             is_engine=pool.is_engine if pool else True,
             cache_tokens=pool.cache_tokens if pool else 0,
+            rate_limits=self._rate_limits,
         )
 
     def drop_target(self, name: str) -> None:
@@ -205,7 +206,7 @@
         self, job: Job, loads: list[TargetLoad], *, now_ms: int
     ) -> float:
         """Return the expected wait in ms for a slot that is not reserved."""
-        starts_per_ms = sum(load.target.slots / load.service_ms for load in loads)
+        starts_per_ms = sum(load.starts_per_ms for load in loads)
         requests_ahead = sum(
             1 for other in self._waiting.get(job.pool, ()) if other.rank <= job.rank
         )
@@ -424,8 +425,8 @@
         )
 
     def _free_slots(self, pool: str, *, now_ms: int) -> int:
-        """Return the number of free slots at the targets of `pool`."""
-        return sum(load.free_slots(now_ms=now_ms) for load in self._pool_loads(pool))
+        """Return how many slots at the targets of `pool` this entry may use now."""
+        return sum(load.usable_slots(now_ms=now_ms) for load in self._pool_loads(pool))
 
     def _peer_requests_ahead(self, pool: str, rank: int, *, now_ms: int) -> int:
         """Return the number of requests more urgent than `rank` that wait at peers."""
--- a/pistachiohaven/components/rate_limit/_core.py
+++ b/pistachiohaven/components/rate_limit/_core.py
@@ -6,7 +6,7 @@
 from pistachiohaven.helpers import rendezvous_order
 
 from ._bucket import TokenBucket
-from .const import CHANGE_REPORT_MS, MIN_RATE_PER_S, MIN_SHARE_PER_S
+from .const import CHANGE_REPORT_MS, MAX_REPORTS, MIN_RATE_PER_S, MIN_SHARE_PER_S
 
 SOURCE_TARGET = "target"
 
@@ -119,14 +119,20 @@
         )
 
     def reports(self, *, changed_only: bool, now_ms: int) -> list[LimitReport]:
-        """Return what is known of the limits, or only of those changed lately."""
+        """Return what is known of the limits, or only of those changed lately.
+
+        At most `MAX_REPORTS`, those that changed last.
+        """
+        newest = sorted(
+            self._limits.items(), key=lambda item: item[1].changed_ms, reverse=True
+        )
         return [
             LimitReport(
                 target=target,
                 requests_per_s=limit.requests_per_s,
                 age_ms=max(now_ms - limit.named_ms, 0),
             )
-            for target, limit in self._limits.items()
+            for target, limit in newest[:MAX_REPORTS]
             if not changed_only or now_ms - limit.changed_ms < CHANGE_REPORT_MS
         ]
 
--- a/pistachiohaven/components/rate_limit/const.py
+++ b/pistachiohaven/components/rate_limit/const.py
@@ -15,5 +15,8 @@
 MAX_SAVED_MS: Final = 250
 """Time for which an entry saves its unused share, if that is more than one request."""
 
+MAX_REPORTS: Final = 64
+"""Limits in one message to a peer; each takes up to 20 bytes."""
+
 CHANGE_REPORT_MS: Final = 5_000
 """Time for which a changed limit is part of each update to the peers."""
--- a/tests/components/gateway/stand_ins.py
+++ b/tests/components/gateway/stand_ins.py
@@ -204,6 +204,7 @@
         super().__init__()
         self.name = name
         self.script = Script()
+        self.rate_limit: str | None = None
 
     def entry(self, pool: str, **overrides: object) -> dict[str, object]:
         """Return the store entry with which this target registers."""
@@ -219,10 +220,13 @@
 
     def signed_headers(self, request: ReceivedRequest) -> dict[str, str]:
         """Return the attempt id and signature headers of a valid response."""
-        return {
+        headers = {
             "Pistachiohaven-Attempt-Id": request.attempt_id,
             "Pistachiohaven-Server-Stamp": f"stamp-{self.name}",
         }
+        if self.rate_limit is not None:
+            headers["Server-Limit"] = self.rate_limit
+        return headers
 
     async def respond(
         self, request: ReceivedRequest, stream: trio.SocketStream
--- a/tests/components/gateway/test_gateway.py
+++ b/tests/components/gateway/test_gateway.py
@@ -685,3 +685,26 @@
 
 async def async_value(value: bool) -> bool:
     return value
+
+
+@with_harness()
+async def test_target_gets_no_more_requests_than_the_limit_that_it_names(
+    harness: GatewayHarness,
+) -> None:
+    """One target names a limit of 0.2 a second; the other one serves the rest."""
+    limited, other = harness.targets
+    limited.rate_limit = "0.2"
+    while not limited.received:
+        assert (await harness.call("/again/x")).status == 200
+    for _ in range(40):
+        assert (await harness.call("/again/x")).status == 200
+    assert len(limited.received) <= 3
+    assert len(other.received) >= 38
+
+
+@with_harness()
+async def test_unreadable_limit_is_ignored(harness: GatewayHarness) -> None:
+    for target in harness.targets:
+        target.rate_limit = "few"
+    for _ in range(10):
+        assert (await harness.call("/again/x")).status == 200
--- a/tests/components/gateway/test_peers.py
+++ b/tests/components/gateway/test_peers.py
@@ -165,6 +165,20 @@
     run_with_two_gateways(test)
 
 
+def test_rate_limit_of_a_target_and_its_end_are_passed_on() -> None:
+    """Each of two gateways uses half of a limit that one of them was told."""
+
+    async def test(first: PeerNode, second: PeerNode) -> None:
+        now_ms = first.now_ms
+        limits = (first.gateway_state.rate_limits, second.gateway_state.rate_limits)
+        limits[0].observe("i-0", 3.0, sent_ms=now_ms - 10, now_ms=now_ms)
+        await wait_until(lambda: all(each.share_per_s("i-0") == 1.5 for each in limits))
+        limits[1].observe("i-0", None, sent_ms=now_ms + 60_000, now_ms=now_ms + 60_000)
+        await wait_until(lambda: limits[0].share_per_s("i-0") is None)
+
+    run_with_two_gateways(test)
+
+
 def test_digest_is_requested_from_a_forgotten_peer() -> None:
     """Updates alone can't restore a peer's state after the gateway dropped it."""
 
--- a/tests/components/gateway/test_stall.py
+++ b/tests/components/gateway/test_stall.py
@@ -7,6 +7,7 @@
 from pistachiohaven.components.fleet import Target
 from pistachiohaven.components.gateway._stall import StallDetector
 from pistachiohaven.components.placement import TargetLoad
+from pistachiohaven.components.rate_limit import RateLimits
 from pistachiohaven.const import MS_PER_S
 from pistachiohaven.helpers import Clock, ComponentLogger
 
@@ -37,7 +38,9 @@
             leaving=False,
             started_ms=1,
         )
-        self.load = TargetLoad(target=target, is_engine=True, cache_tokens=0)
+        self.load = TargetLoad(
+            target=target, is_engine=True, cache_tokens=0, rate_limits=RateLimits()
+        )
         self.detector = StallDetector(
             request_id="r",
             load=self.load,
--- a/tests/components/rate_limit/test_named_limit.py
+++ b/tests/components/rate_limit/test_named_limit.py
@@ -196,7 +196,6 @@
     return [Entry(name=f"10.0.0.{number}:7600") for number in range(count)]
 
 
-@pytest.mark.known_red
 @pytest.mark.parametrize("requests_per_s", [1.6, 3.8, 5.2])
 @pytest.mark.parametrize("entry_count", [1, 5, 22])
 def test_named_limit_holds_for_the_sum_of_all_entries(
@@ -212,7 +211,6 @@
     assert fleet.placed >= 0.99 * fleet.requested
 
 
-@pytest.mark.known_red
 def test_target_is_used_again_after_its_limit_ends() -> None:
     fleet = Fleet(entries=make_entries(5), requests_per_s=1.6)
     fleet.run()
@@ -221,7 +219,6 @@
     assert fleet.sent_between(LENGTH_MS - 4_000, LENGTH_MS) > before / 2
 
 
-@pytest.mark.known_red
 def test_entries_that_cannot_reach_each_other_keep_the_sum() -> None:
     entries = make_entries(5)
     groups = {entry.name: number % 2 for number, entry in enumerate(entries)}
@@ -234,7 +231,6 @@
     fleet.assert_limit_is_kept()
 
 
-@pytest.mark.known_red
 def test_entries_that_start_keep_the_sum() -> None:
     entries = make_entries(5)
     for entry in entries[2:]:
@@ -244,7 +240,6 @@
     fleet.assert_limit_is_kept()
 
 
-@pytest.mark.known_red
 def test_entries_that_pause_keep_the_sum() -> None:
     entries = make_entries(5)
     for entry in entries[:2]:
@@ -254,7 +249,6 @@
     fleet.assert_limit_is_kept()
 
 
-@pytest.mark.known_red
 def test_entries_that_only_learn_from_the_target_keep_the_sum() -> None:
     fleet = Fleet(
         entries=make_entries(5), requests_per_s=3.8, is_cut=lambda one, other: True
@@ -263,7 +257,6 @@
     fleet.assert_limit_is_kept()
 
 
-@pytest.mark.known_red
 def test_other_targets_stay_in_use_under_overload() -> None:
     """Requests must not wait for the limited target while others have slots.
 
