Count entries that are out of reach for minutes

Gateways that lost each other for over 60 s forgot each other, so that each side divided retry budgets and the rate limits of targets among itself alone: two halves together could use twice what is allowed while a cut lasts for minutes, as it does between regions.

Cause: a peer was removed 60 s after its last message, and the number of entries fell with it. Removed peers now count as running for 30 minutes more, unless they said that they leave. test_cut_off_entry_counts_as_running_beyond_its_expiry failed before (1 entry instead of 2).

Found while looking for the class of the fault in the rate limits: sums that depend on reaching every entry. The quota ledger forgets silent peers after 60 s as well; not changed here.

--- a/pistachiohaven/components/exchange/_core.py
+++ b/pistachiohaven/components/exchange/_core.py
@@ -4,11 +4,13 @@
 from dataclasses import dataclass
 
 from pistachiohaven.const import MS_PER_S
+from pistachiohaven.helpers import TtlMap
 
 from ._messages import Digest, Member, Update, short_hash
 from .const import (
     FAN_OUT,
     INTERVAL_MS,
+    LOST_PEER_RETENTION_MS,
     MAX_BYTES_PER_S,
     MEMBERS_PER_DIGEST,
     PEER_EXPIRY_MS,
@@ -82,6 +84,8 @@
     """Table of the other entries, by address, and schedule of the messages to them.
 
     Of a seed, only the address is known until its first digest. Seeds never expire.
+    An entry that is no longer heard of is removed, but still counts as one that may run
+    for some time: it may only be out of reach.
     """
 
     def __init__(
@@ -97,6 +101,7 @@
         for address in seeds:
             self._add_peer(Member(name="", address=address), now_ms=0)
         self._seeds = frozenset(self._peers)
+        self._lost_peers = TtlMap[Peer](retention_ms=LOST_PEER_RETENTION_MS)
 
     def peers(self) -> list[Peer]:
         """Return all known entries other than this one, live or not."""
@@ -108,11 +113,12 @@
 
     def entry_count(self) -> int:
         """Return the number of entries that may run, including this one."""
-        return 1 + len(self._peers)
+        return len(self.entry_addresses())
 
     def entry_addresses(self) -> frozenset[str]:
         """Return the addresses of the entries that may run, including this one."""
-        return frozenset({self._self_address, *self._peers})
+        lost_addresses = (address for address, _ in self._lost_peers.items())
+        return frozenset({self._self_address, *self._peers, *lost_addresses})
 
     def handle_digest(self, digest: Digest, *, now_ms: int) -> PeerEvents:
         """Apply a digest; ignore one that is old, repeated or sent by this entry."""
@@ -263,6 +269,7 @@
 
     def _remove_expired_peers(self, *, now_ms: int) -> None:
         """Remove the peers without a message for `PEER_EXPIRY_MS`, except seeds."""
+        self._lost_peers.purge(now_ms=now_ms)
         for address, peer in list(self._peers.items()):
             last_contact_ms = (
                 peer.first_seen_ms
@@ -271,4 +278,6 @@
             )
             if address not in self._seeds and now_ms - last_contact_ms > PEER_EXPIRY_MS:
                 del self._peers[address]
+                if not peer.leaving:
+                    self._lost_peers.put(address, peer, now_ms=now_ms)
                 self._by_hash.pop(short_hash(peer.incarnation), None)
--- a/pistachiohaven/components/exchange/const.py
+++ b/pistachiohaven/components/exchange/const.py
@@ -50,5 +50,11 @@
 PEER_EXPIRY_MS: Final = 60_000
 """Age of a peer's last message from which it is removed."""
 
+LOST_PEER_RETENTION_MS: Final = 30 * 60_000
+"""Time for which a removed peer counts as running unless it said that it leaves.
+
+Regions lose each other for minutes.
+"""
+
 MAX_DATAGRAM_BYTES: Final = 16_384
 """Largest datagram that is read; a digest at the design size has up to 3 KB."""
--- a/tests/components/exchange/test_core.py
+++ b/tests/components/exchange/test_core.py
@@ -21,6 +21,7 @@
 from pistachiohaven.components.exchange.const import (
     FAN_OUT,
     INTERVAL_MS,
+    LOST_PEER_RETENTION_MS,
     MAX_BYTES_PER_S,
     PEER_EXPIRY_MS,
     PEER_LIVE_MS,
@@ -109,6 +110,26 @@
     assert [peer.member.address for peer in exchange.peers()] == ["10.0.0.1:7600"]
 
 
+def test_cut_off_entry_counts_as_running_beyond_its_expiry() -> None:
+    """Entries that lost each other for minutes must not take over each other's shares.
+
+    An entry that said that it leaves does not count any longer.
+    """
+    exchange = make_exchange()
+    exchange.handle_digest(digest("1"), now_ms=0)
+    exchange.handle_digest(digest("2", leaving=True), now_ms=0)
+    expired_ms = PEER_EXPIRY_MS + 1
+    exchange.select_recipients(now_ms=expired_ms)
+    assert exchange.peers() == []
+    assert exchange.entry_count() == 2
+    assert exchange.entry_addresses() == {"10.0.0.0:7600", "10.0.0.1:7600"}
+    exchange.handle_digest(digest("1", sequence=2), now_ms=expired_ms)
+    assert exchange.entry_count() == 2
+    exchange.select_recipients(now_ms=2 * expired_ms)
+    exchange.select_recipients(now_ms=2 * expired_ms + LOST_PEER_RETENTION_MS + 1)
+    assert exchange.entry_count() == 1
+
+
 def test_peer_with_a_newer_revision_is_found_only_while_it_is_live() -> None:
     exchange = make_exchange()
     exchange.handle_digest(digest("1", revision=7), now_ms=0)
