--- a/tests/components/gateway/stand_ins.py
+++ b/tests/components/gateway/stand_ins.py
@@ -113,14 +113,25 @@
     return "\r\n".join([*lines, "", ""]).encode() + body
 
 
+@dataclass(frozen=True, slots=True, kw_only=True)
+class StoreCopy:
+    """Content of a store at one revision."""
+
+    revision: int
+    items: dict[str, tuple[bytes, int]]
+    events: list[dict[str, Any]]
+
+
 class StoreStandIn(RawServer):
     """Stand-in for the platform's store, with reads, ranges and watches.
 
-    With `is_down`, all requests fail with status 503.
+    With `is_down`, all requests fail with status 503. Each response carries the era,
+    which rises when the store is restored from a copy.
     """
 
     def __init__(self) -> None:
         super().__init__()
+        self.era = 1
         self.revision = 1
         self.oldest_revision = 0
         self.items: dict[str, tuple[bytes, int]] = {}
@@ -141,6 +152,21 @@
         del self.items[key]
         self._publish({"key": key, "revision": self.revision, "deleted": True})
 
+    def copy(self) -> StoreCopy:
+        """Return a copy from which the store can be restored."""
+        return StoreCopy(
+            revision=self.revision, items=dict(self.items), events=list(self.events)
+        )
+
+    def restore(self, copy: StoreCopy) -> None:
+        """Go back to a copy; revisions after it are given out again."""
+        self.era += 1
+        self.revision = copy.revision
+        self.items = dict(copy.items)
+        self.events = list(copy.events)
+        self._changed.set()
+        self._changed = trio.Event()
+
     def _publish(self, event: dict[str, Any]) -> None:
         self.events.append(event)
         self._changed.set()
@@ -156,7 +182,7 @@
     ) -> bool:
         """Respond as the platform's API specifies."""
         if self.is_down:
-            await stream.send_all(encode_response(503, b""))
+            await stream.send_all(encode_response(503, b"", self._era_header()))
             return True
         url = urlsplit(request.target)
         query = {name: values[0] for name, values in parse_qs(url.query).items()}
@@ -174,16 +200,22 @@
         else:
             status, content = await self._watch(query)
         body = json.dumps({**content, "at": self.revision}).encode()
-        await stream.send_all(encode_response(status, body))
+        await stream.send_all(encode_response(status, body, self._era_header()))
         return True
 
+    def _era_header(self) -> dict[str, str]:
+        return {"Store-Era": str(self.era)}
+
     async def _watch(self, query: dict[str, str]) -> tuple[int, dict[str, Any]]:
         after = int(query["after"])
-        if after < self.oldest_revision:
+        if not self.oldest_revision <= after <= self.revision:
             return 410, {}
+        era = self.era
         with trio.move_on_after(int(query["waitMs"]) / 1_000):
             while not self._events_after(after) and not self.is_down:
                 await self._changed.wait()
+        if era != self.era and after > self.revision:
+            return 410, {}
         return 200, {"events": self._events_after(after)}
 
     def _events_after(self, revision: int) -> list[dict[str, Any]]:
