Split reserved slots and peer queues from the scheduler

These and the queue lengths that peers report move to modules of their own; no decision changes. Tests of placement, rate limits and gateway pass.

--- a/pistachiohaven/components/placement/_scheduler.py
+++ b/pistachiohaven/components/placement/_scheduler.py
@@ -1,10 +1,8 @@
 """Scheduler of the requests that wait for a slot at a target."""
 
 from collections import Counter
-from dataclasses import dataclass, replace
-from statistics import fmean
+from dataclasses import replace
 
-from pistachiohaven.components.exchange import short_hash
 from pistachiohaven.components.fleet import Pool, Target
 from pistachiohaven.components.rate_limit import RateLimits
 from pistachiohaven.core import Reason
@@ -13,6 +11,8 @@
 from ._job import Decision, Job, Placement, Refusal
 from ._load import PeerLoad, TargetLoad
 from ._order import measure_speed, scheduling_key
+from ._peer_queues import PeerQueues
+from ._reserved import ReservedSlots
 from ._served import ServedShares
 from .const import (
     MAX_RETRY_AFTER_MS,
@@ -20,22 +20,12 @@
     MAX_WAIT_SHARE,
     MIN_RETRY_AFTER_MS,
     MIN_STARTS_PER_MS,
-    PEER_QUEUE_TTL_MS,
     RANK_EWMA_WEIGHT,
-    RESERVED_SLOT_SHARE,
     START_SHARE_MS,
     WAIT_CHECK_SHARE,
 )
 
 
-@dataclass(frozen=True, slots=True, kw_only=True)
-class _PeerQueue:
-    """Queue lengths of a peer, as (hash of the pool, rank, count)."""
-
-    waiting: list[tuple[int, int, int]]
-    reported_ms: int
-
-
 class Scheduler:
     """Queues of one entry and the load of all targets.
 
@@ -62,8 +52,9 @@
         self._pools: dict[str, Pool] = {}
         self._waiting: dict[str, list[Job]] = {}
         self._more_urgent_shares: dict[tuple[str, int], Ewma] = {}
-        self._peer_queues: dict[str, _PeerQueue] = {}
+        self._peer_queues = PeerQueues()
         self._served_shares = ServedShares()
+        self._reserved_slots = ReservedSlots(served_shares=self._served_shares)
 
     # Targets
 
@@ -125,11 +116,11 @@
         self, peer: str, waiting: list[tuple[int, int, int]], *, now_ms: int
     ) -> None:
         """Replace the queue lengths of `peer`: hash of the pool, rank, count."""
-        self._peer_queues[peer] = _PeerQueue(waiting=waiting, reported_ms=now_ms)
+        self._peer_queues.update(peer, waiting, now_ms=now_ms)
 
     def drop_peer(self, peer: str) -> None:
         """Remove the loads and queue lengths of an entry that has ended."""
-        self._peer_queues.pop(peer, None)
+        self._peer_queues.drop(peer)
         for load in self._loads.values():
             load.drop_peer(peer)
 
@@ -192,15 +183,16 @@
 
         It is 0 if a usable target has a free slot. Otherwise it is lengthened by the
         share of recent placements of more urgent ranks, which would overtake the job.
-        A job with reserved slots waits at most for those of its own rank.
+        A job that may use reserved slots waits at most for these.
         """
         loads = self._usable_loads(job.pool, now_ms=now_ms)
         if any(load.has_free_slot(now_ms=now_ms) for load in loads):
             return 0.0
         wait_ms = self._expected_shared_wait_ms(job, loads, now_ms=now_ms)
-        if not self._is_below_minimum(job, now_ms=now_ms):
-            return wait_ms
-        return min(wait_ms, self._expected_reserved_wait_ms(job, loads))
+        reserved_wait_ms = self._reserved_slots.expected_wait_ms(
+            job, self._waiting.get(job.pool, ()), loads, now_ms=now_ms
+        )
+        return wait_ms if reserved_wait_ms is None else min(wait_ms, reserved_wait_ms)
 
     def _expected_shared_wait_ms(
         self, job: Job, loads: list[TargetLoad], *, now_ms: int
@@ -210,7 +202,7 @@
         requests_ahead = sum(
             1 for other in self._waiting.get(job.pool, ()) if other.rank <= job.rank
         )
-        requests_ahead += self._peer_requests_ahead(
+        requests_ahead += self._peer_queues.requests_before(
             job.pool, job.rank + 1, now_ms=now_ms
         )
         more_urgent_share = min(
@@ -222,16 +214,6 @@
             / (1.0 - more_urgent_share)
         )
 
-    def _expected_reserved_wait_ms(self, job: Job, loads: list[TargetLoad]) -> float:
-        """Return the expected wait in ms for one of the slots reserved to the rank."""
-        jobs_ahead = sum(
-            other.rank == job.rank for other in self._waiting.get(job.pool, ())
-        )
-        work_ms = measure_speed(loads).expected_work_ms(job) or fmean(
-            load.service_ms for load in loads
-        )
-        return (jobs_ahead + 1) * work_ms / self._reserved_slots(job.pool)
-
     # Scheduling
 
     def _check_on_arrival(self, job: Job, *, now_ms: int) -> Refusal | None:
@@ -259,7 +241,9 @@
         jobs.sort(key=lambda job: scheduling_key(job, speed, now_ms=now_ms))
         is_blocked = False
         free_slots = self._free_slots(jobs[0].pool, now_ms=now_ms)
-        reserved_jobs = self._jobs_with_reserved_slots(jobs, now_ms=now_ms)
+        reserved_jobs = self._reserved_slots.select_jobs(
+            jobs, self._pool_loads(jobs[0].pool), now_ms=now_ms
+        )
         first_jobs = set(reserved_jobs)
         other_jobs = [job for job in jobs if job not in first_jobs]
         for job in reserved_jobs + other_jobs:
@@ -267,7 +251,7 @@
             is_blocked = is_blocked or (
                 not has_reserved_slot
                 and free_slots
-                <= self._peer_requests_ahead(job.pool, job.rank, now_ms=now_ms)
+                <= self._peer_queues.requests_before(job.pool, job.rank, now_ms=now_ms)
             )
             load = None if is_blocked else self._select_target(job, now_ms=now_ms)
             if load is not None:
@@ -286,34 +270,6 @@
                 is_blocked = is_blocked or not job.excluded_targets
         return decisions
 
-    def _jobs_with_reserved_slots(self, jobs: list[Job], *, now_ms: int) -> list[Job]:
-        """Return the jobs that may take a slot ahead of more urgent ones, in order.
-
-        These are the first ones of each rank below its minimum served share, as many as
-        the rank has reserved slots that it does not use.
-        """
-        pool = jobs[0].pool
-        unused_slots = {
-            rank: self._reserved_slots(pool)
-            - sum(load.own_running_of_rank(rank) for load in self._pool_loads(pool))
-            for rank in {job.rank for job in jobs}
-            if self._served_shares.is_below_minimum(pool, rank, now_ms=now_ms)
-        }
-        reserved_jobs: list[Job] = []
-        for job in jobs:
-            if unused_slots.get(job.rank, 0) > 0:
-                unused_slots[job.rank] -= 1
-                reserved_jobs.append(job)
-        return reserved_jobs
-
-    def _reserved_slots(self, pool: str) -> int:
-        """Return how many slots this entry reserves to a rank below its minimum."""
-        own_running = sum(load.own_running for load in self._pool_loads(pool))
-        return max(int(RESERVED_SLOT_SHARE * own_running), 1)
-
-    def _is_below_minimum(self, job: Job, *, now_ms: int) -> bool:
-        return self._served_shares.is_below_minimum(job.pool, job.rank, now_ms=now_ms)
-
     def _record_end(self, job: Job, *, is_served: bool, now_ms: int) -> None:
         """Record whether the wait of `job` ended with a slot."""
         self._served_shares.record(
@@ -345,7 +301,7 @@
             load, now_ms=now_ms
         ):
             return False
-        competitors = self._competing_peers(job, now_ms=now_ms)
+        competitors = self._peer_queues.competitors(job.pool, job.rank, now_ms=now_ms)
         if not competitors:
             return True
         own_freed = load.own_freed_slots(now_ms=now_ms)
@@ -365,19 +321,6 @@
         unknown_peers = max(self._expected_peers - len(self._peer_queues), 0)
         return -(-load.target.slots // (1 + unknown_peers))
 
-    def _competing_peers(self, job: Job, *, now_ms: int) -> list[str]:
-        """Return the peers with waiting requests at least as urgent as `job`."""
-        wanted_hash = short_hash(job.pool)
-        return [
-            name
-            for name, peer in self._peer_queues.items()
-            if now_ms - peer.reported_ms < PEER_QUEUE_TTL_MS
-            and any(
-                pool == wanted_hash and rank <= job.rank
-                for pool, rank, _ in peer.waiting
-            )
-        ]
-
     def _place_job(
         self, job: Job, load: TargetLoad, *, has_reserved_slot: bool, now_ms: int
     ) -> Placement:
@@ -428,17 +371,6 @@
         """Return how many slots at the targets of `pool` this entry may use now."""
         return sum(load.usable_slots(now_ms=now_ms) for load in self._pool_loads(pool))
 
-    def _peer_requests_ahead(self, pool: str, rank: int, *, now_ms: int) -> int:
-        """Return the number of requests more urgent than `rank` that wait at peers."""
-        wanted_hash = short_hash(pool)
-        return sum(
-            count
-            for peer in self._peer_queues.values()
-            if now_ms - peer.reported_ms < PEER_QUEUE_TTL_MS
-            for pool_hash, other_rank, count in peer.waiting
-            if pool_hash == wanted_hash and other_rank < rank
-        )
-
     def _record_placement_rank(self, pool: str, rank: int) -> None:
         """Update, for each rank of the pool, the share of more urgent placements."""
         self._more_urgent_shares.setdefault((pool, rank), Ewma(weight=RANK_EWMA_WEIGHT))
@@ -462,7 +394,7 @@
             waiting=self.waiting(job.pool),
             expected_wait_ms=wait_ms,
             free_slots=self._free_slots(job.pool, now_ms=now_ms),
-            peer_requests_ahead=self._peer_requests_ahead(
+            peer_requests_ahead=self._peer_queues.requests_before(
                 job.pool, job.rank, now_ms=now_ms
             ),
             more_urgent_share=self._more_urgent_share(job.pool, job.rank),
