Keep the quota shares of entries that are out of reach for minutes

Cause: a peer was forgotten 60 s after its last report, and its share with it. A silent peer now keeps its even share for 30 minutes. One that said that it leaves is forgotten 10 s after its last report, so that a planned stop costs no quota; a peer that is expected but was never heard has a share for 60 s as before. A gateway that crashes for good costs its share for 30 minutes instead of one.

test_entries_that_are_cut_off_for_minutes_stay_within_the_bound failed before and passes.

--- a/pistachiohaven/components/gateway/_peers.py
+++ b/pistachiohaven/components/gateway/_peers.py
@@ -309,6 +309,8 @@
         state.quota.apply_peer_usage(
             peer.incarnation, message.used_tokens, uptime_ms=uptime_ms, now_ms=now_ms
         )
+        if message.leaving:
+            state.quota.record_leaving(peer.incarnation)
         if message.rate_limits:
             self._apply_rate_limits(message.rate_limits, peer=peer.member.name)
         waiting = [
--- a/pistachiohaven/components/quota/_core.py
+++ b/pistachiohaven/components/quota/_core.py
@@ -9,6 +9,7 @@
 
 from ._window import UsageWindow, expiry_ms
 from .const import (
+    LEAVING_PEER_EXPIRY_MS,
     MAX_PEER_STALE_MS,
     MAX_RETRY_AFTER_MS,
     MIN_PEER_STALE_MS,
@@ -18,6 +19,7 @@
     STALE_INTERVALS,
     START_BURST_SHARE,
     START_RESERVE_SHARE,
+    UNKNOWN_PEER_EXPIRY_MS,
 )
 
 
@@ -66,12 +68,13 @@
     `used_tokens` is its usage since its start, by hash of the organisation's name. For
     a stale peer, `stale_share_tokens` holds its share of the tokens that were left when
     it became stale, by name of the organisation, for those charged since; it is None
-    for other peers.
+    for other peers. `is_leaving` is True if the peer said that it ends.
     """
 
     last_report_ms: int
     used_tokens: dict[int, int] = field(default_factory=dict)
     stale_share_tokens: dict[str, float] | None = None
+    is_leaving: bool = False
 
 
 class QuotaLedger:
@@ -222,6 +225,12 @@
         state.stale_share_tokens = None
         state.last_report_ms = now_ms
 
+    def record_leaving(self, peer: str) -> None:
+        """Record that `peer` said that it ends."""
+        state = self._peers.get(peer)
+        if state is not None:
+            state.is_leaving = True
+
     def apply_history(
         self, window_usage: dict[int, int], *, uptime_ms: int, now_ms: int
     ) -> None:
@@ -309,7 +318,7 @@
 
         A stale peer uses an even share of what was left when it became stale, and then
         of what expires. An expected entry that has not reported yet uses an even share
-        in the first `PEER_EXPIRY_MS`.
+        in the first `UNKNOWN_PEER_EXPIRY_MS`.
         """
         entry_share = 1.0 / self._entry_count(now_ms=now_ms)
         even_tokens = account.limit_tokens * entry_share
@@ -352,7 +361,7 @@
 
     def _unknown_peers(self, *, now_ms: int) -> int:
         """Return the number of expected entries that have not reported yet."""
-        if now_ms - self._started_ms >= PEER_EXPIRY_MS:
+        if now_ms - self._started_ms >= UNKNOWN_PEER_EXPIRY_MS:
             return 0
         return max(self._expected_peers - len(self._peers), 0)
 
@@ -361,7 +370,8 @@
         stale_after_ms = self._stale_after_ms
         for name, peer in list(self._peers.items()):
             age_ms = now_ms - peer.last_report_ms
-            if age_ms > PEER_EXPIRY_MS:
+            expiry_ms = LEAVING_PEER_EXPIRY_MS if peer.is_leaving else PEER_EXPIRY_MS
+            if age_ms > expiry_ms:
                 self.drop_peer(name)
             elif age_ms > stale_after_ms and peer.stale_share_tokens is None:
                 peer.stale_share_tokens = {}
--- a/pistachiohaven/components/quota/const.py
+++ b/pistachiohaven/components/quota/const.py
@@ -15,12 +15,18 @@
 REPORT_INTERVAL_EWMA_WEIGHT: Final = 0.02
 """Weight of the newest interval between two reports of a peer."""
 
-PEER_EXPIRY_MS: Final = 60_000
+PEER_EXPIRY_MS: Final = 30 * 60_000
 """Age of a peer's last report from which it is removed.
 
-Longer than a machine is disconnected in any of the load scenarios.
+Longer than regions lose each other: a peer that is out of reach still uses its share.
 """
 
+LEAVING_PEER_EXPIRY_MS: Final = 10_000
+"""The same for a peer that said that it ends; longer than its grace period."""
+
+UNKNOWN_PEER_EXPIRY_MS: Final = 60_000
+"""Time after the start in which an expected peer that never reported has a share."""
+
 OVERDRAFT_SHARE: Final = 0.1
 """Share of the tolerated excess that an organisation may use beyond its limit.
 
--- a/tests/components/quota/test_core.py
+++ b/tests/components/quota/test_core.py
@@ -7,7 +7,10 @@
 from pistachiohaven.components.exchange import short_hash
 from pistachiohaven.components.fleet import Organisation
 from pistachiohaven.components.quota import QuotaLedger, QuotaTolerance
-from pistachiohaven.components.quota.const import MIN_PEER_STALE_MS
+from pistachiohaven.components.quota.const import (
+    LEAVING_PEER_EXPIRY_MS,
+    MIN_PEER_STALE_MS,
+)
 
 RATE = 10_000.0
 BURST = 10_000.0
@@ -116,6 +119,34 @@
     )
 
 
+def test_entries_that_are_cut_off_for_minutes_stay_within_the_bound() -> None:
+    """Entries that no longer count each other must not use the whole limit each."""
+    ledgers = [make_ledger() for _ in range(4)]
+    for index, ledger in enumerate(ledgers):
+        for other_index in range(len(ledgers)):
+            if other_index != index:
+                ledger.apply_peer_usage(str(other_index), {}, uptime_ms=0, now_ms=0)
+    admitted = [
+        (now_ms, 500)
+        for now_ms in range(0, 120_000, 20)
+        for ledger in ledgers
+        if ledger.charge("org", 500, now_ms=now_ms) is None
+    ]
+    assert max_window_tokens(admitted) <= BOUND
+
+
+def test_share_of_a_peer_that_left_is_free_after_its_grace_period() -> None:
+    ledger = make_ledger()
+    ledger.apply_peer_usage("left", {}, uptime_ms=0, now_ms=0)
+    ledger.record_leaving("left")
+    limit = RATE * WINDOW_S + BURST
+    for now_ms, is_free in ((9_000, False), (LEAVING_PEER_EXPIRY_MS + 1, True)):
+        assert ledger.charge("org", 1, now_ms=now_ms) is None
+        remaining = ledger.remaining_tokens("org", now_ms=now_ms)
+        assert remaining is not None
+        assert (remaining > limit * 0.9) == is_free
+
+
 def test_network_split_during_a_load_peak_stays_within_the_bound() -> None:
     ledgers = [make_ledger() for _ in range(5)]
     admitted = []
