List a request sent on after its caller had left

The gateway had just restarted, served its zone alone and was late by a second. A new test holds that a request which is read together with the end of its connection is not sent on; it passes, so this is ruled out as the cause.

--- a/tests/components/gateway/test_gateway.py
+++ b/tests/components/gateway/test_gateway.py
@@ -3,6 +3,7 @@
 import functools
 import json
 import signal
+import socket
 from collections.abc import Awaitable, Callable
 from typing import Any
 
@@ -708,3 +709,24 @@
         target.rate_limit = "few"
     for _ in range(10):
         assert (await harness.call("/again/x")).status == 200
+
+
+@with_harness()
+async def test_request_whose_caller_left_before_it_was_read_is_not_sent_on(
+    harness: GatewayHarness,
+) -> None:
+    """A gateway that reads late finds the request and its end at the same time.
+
+    The caller's calls do not let the gateway run in between.
+    """
+    for _ in range(3):
+        assert (await harness.call("/again/x")).status == 200
+    host, _, port = harness.settings.listen.rpartition(":")
+    lines = ["POST /again/x HTTP/1.1", "Host: a.example", "Content-Length: 2"]
+    lines += ["Pistachiohaven-Credential: key-1", "Pistachiohaven-Deadline-Ms: 2500"]
+    for number in range(10):
+        head = [*lines, f"Pistachiohaven-Attempt-Id: {number:016x}", "", ""]
+        with socket.create_connection((host, int(port))) as connection:
+            connection.sendall("\r\n".join(head).encode() + b"{}")
+    assert (await harness.call("/again/x")).status == 200
+    assert len(harness.received) == 4
