--- a/tests/components/gateway/test_store_era.py
+++ b/tests/components/gateway/test_store_era.py
@@ -17,6 +17,11 @@
     }
 
 
+async def call_repeatedly(harness: GatewayHarness) -> None:
+    for _ in range(6):
+        assert (await harness.call("/again/x")).status == 200
+
+
 async def wait_for_target(harness: GatewayHarness, name: str) -> None:
     async def is_known() -> bool:
         return name in await target_states(harness)
@@ -90,8 +95,7 @@
     await write_more(harness, 4)
     harness.store.restore(copy)
     await wait_for_era(harness)
-    for _ in range(6):
-        assert (await harness.call("/again/x")).status == 200
+    await call_repeatedly(harness)
     assert not first.received
     assert len(second.received) == 6
 
@@ -106,8 +110,7 @@
     await write_more(harness, 4)
     harness.store.restore(copy)
     await wait_for_era(harness)
-    for _ in range(6):
-        assert (await harness.call("/again/x")).status == 200
+    await call_repeatedly(harness)
     assert not first.received
     harness.store.put("servers/i-0", first.entry("p"))
     harness.store.put("servers/i-1", second.entry("p", state="draining"))
