--- /dev/null
+++ b/tests/components/web/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of the rate limits of targets."""
