List targets that leave by their answers and are still used

A target says in a header of all its answers that it leaves, and takes no requests from that gateway some time later. The gateway reads only the state in the store.

--- a/tests/components/gateway/stand_ins.py
+++ b/tests/components/gateway/stand_ins.py
@@ -237,6 +237,7 @@
         self.name = name
         self.script = Script()
         self.rate_limit: str | None = None
+        self.is_leaving = False
 
     def entry(self, pool: str, **overrides: object) -> dict[str, object]:
         """Return the store entry with which this target registers."""
@@ -258,6 +259,8 @@
         }
         if self.rate_limit is not None:
             headers["Server-Limit"] = self.rate_limit
+        if self.is_leaving:
+            headers["Server-Leaving"] = "1"
         return headers
 
     async def respond(
@@ -413,6 +416,23 @@
         address = self.settings.listen_readiness
         return (await self.get(address, "/pistachiohaven/readiness")).status == 200
 
+    async def add_gateway(self) -> "GatewayHarness":
+        """Start another gateway, which exchanges datagrams with this one."""
+        port = self.settings.internal_ports[0]
+        settings = make_settings(self.store, (self.settings.exchange_address,))
+        settings = settings.model_copy(
+            update={"listen": "127.0.0.2:0", "internal_ports": (port, 0)}
+        )
+        other = GatewayHarness(
+            store=self.store,
+            targets=self.targets,
+            settings=await self.nursery.start(run_gateway, settings),
+            nursery=self.nursery,
+            attempts=1_000,
+        )
+        await other.wait_until(other.is_ready)
+        return other
+
     async def wait_until(self, condition: Callable[[], Awaitable[bool]]) -> None:
         """Poll `condition` until it is True; fail after 10 s."""
         with trio.fail_after(10):
