Read the notice of a target that leaves, keep it and tell peers

Callers of a target that was about to end were still sent there: their requests failed or were answered late, and the target got requests after it had said that it takes none.

Cause: the header with which a target says in each answer that it leaves was dropped at the border, and only the state in the store was read.

Now it is read from the head of every response but 421, also from one to another request, and kept by incarnation outside the target's load, so neither a store that lists the target as ready nor the end of its load, a recovered stall or a success undoes it. The scheduler takes the target for leaving; a request that was placed before is checked again when it has its connection (not sent, no retry budget). Idle connections are closed, peers are told with the age, and the gateway is unready if all of its targets leave.

--- a/pistachiohaven/components/exchange/_messages.py
+++ b/pistachiohaven/components/exchange/_messages.py
@@ -53,6 +53,16 @@
     age_ms: int
 
 
+class LeavingTargetReport(msgspec.Struct, array_like=True, frozen=True, kw_only=True):
+    """Target that said `age_ms` milliseconds ago that it leaves.
+
+    `target` is the hash of its incarnation.
+    """
+
+    target: int
+    age_ms: int
+
+
 class Digest(msgspec.Struct, array_like=True, frozen=True, kw_only=True, tag=0):
     """Complete state of one entry; it replaces that of all earlier messages.
 
@@ -61,7 +71,8 @@
     of the organisation's name. `revision` is that of the newest store change that the
     sender has applied. `members` are some of the live entries. `window_tokens` is the
     usage of all entries within the quota window, as known to the sender; only peers
-    that do not know the sender yet get it. `rate_limits` are all that it knows.
+    that do not know the sender yet get it. `rate_limits` are all that it knows, and
+    `leaving_targets` those that said lately that they leave.
     """
 
     sender: Member
@@ -77,6 +88,7 @@
     used_tokens: dict[int, int]
     window_tokens: dict[int, int] | None = None
     rate_limits: tuple[RateLimitReport, ...] = ()
+    leaving_targets: tuple[LeavingTargetReport, ...] = ()
 
 
 class Update(msgspec.Struct, array_like=True, frozen=True, kw_only=True, tag=1):
@@ -85,8 +97,8 @@
     `sender` is the hash of the incarnation named in the sender's digests. `running` and
     `prefill` have one byte per target, ordered by name: the number of requests, and
     their prompt tokens in steps of `PREFILL_STEP_TOKENS`.
-    `targets` is the hash of the list of target names. `used_tokens` and
-    `rate_limits` have only the values that changed recently.
+    `targets` is the hash of the list of target names. `used_tokens`, `rate_limits` and
+    `leaving_targets` have only the values that changed recently.
     """
 
     sender: int
@@ -99,6 +111,7 @@
     waiting: tuple[QueueReport, ...]
     used_tokens: dict[int, int]
     rate_limits: tuple[RateLimitReport, ...] = ()
+    leaving_targets: tuple[LeavingTargetReport, ...] = ()
 
 
 class DigestRequest(msgspec.Struct, array_like=True, frozen=True, kw_only=True, tag=2):
--- a/pistachiohaven/components/gateway/_app.py
+++ b/pistachiohaven/components/gateway/_app.py
@@ -313,7 +313,7 @@
                 {
                     "name": load.target.name,
                     "pool": load.target.pool,
-                    "leaving": load.target.leaving,
+                    "leaving": load.is_leaving,
                     "running": load.running(now_ms=now_ms),
                     "own_running": load.own_running,
                     "token_ms": load.token_ms,
--- a/pistachiohaven/components/gateway/_dispatch.py
+++ b/pistachiohaven/components/gateway/_dispatch.py
@@ -112,6 +112,7 @@
         self._clock: Clock = state.clock
         self._sink = sink
         self._stall_monitor = state.stall_monitor
+        self._observe_notices = state.observe_notices
         self._observe_rate_limit = state.observe_rate_limit
         self._stall_detector = StallDetector(
             request_id=call.head.attempt_id,
@@ -139,6 +140,10 @@
             )
             return FailedDispatch(failure=Failure.NOT_SENT, detail=acquired.err_value)
         connection = acquired.ok_value
+        if not self._load.accepts_requests:
+            self._load.record_cancelled(request_id)
+            await self._pool.close(connection)
+            return FailedDispatch(failure=Failure.NOT_SENT, detail="target leaving")
         try:
             result = await self._exchange_until_stalled(connection)
         except CONNECTION_ERRORS as error:
@@ -209,6 +214,9 @@
             body=self._body,
         )
         self._stall_detector.disarm()
+        # Also from the head of another request's response: it is about the target.
+        if head.status != platform.MISDIRECTED:
+            self._observe_notices(self._load, head.headers)
         rejection_detail = self._check_head(head)
         if rejection_detail is not None:
             return FailedDispatch(
--- a/pistachiohaven/components/gateway/_peers.py
+++ b/pistachiohaven/components/gateway/_peers.py
@@ -10,6 +10,7 @@
     Datagram,
     Digest,
     DigestRequest,
+    LeavingTargetReport,
     Member,
     PeerEvents,
     QueueReport,
@@ -28,6 +29,7 @@
     MAX_DATAGRAM_BYTES,
     PREFILL_STEP_TOKENS,
 )
+from pistachiohaven.components.notice import LeavingReport
 from pistachiohaven.components.placement import PeerLoad, TargetLoad
 from pistachiohaven.components.rate_limit import LimitReport
 from pistachiohaven.const import MS_PER_S
@@ -144,6 +146,7 @@
             if has_history
             else None,
             rate_limits=self._rate_limit_reports(changed_only=False, now_ms=now_ms),
+            leaving_targets=self._leaving_reports(changed_only=False, now_ms=now_ms),
         )
 
     def _build_update(self, *, now_ms: int) -> Update:
@@ -173,6 +176,7 @@
                 and organisation_hash in self._used_tokens
             },
             rate_limits=self._rate_limit_reports(changed_only=True, now_ms=now_ms),
+            leaving_targets=self._leaving_reports(changed_only=True, now_ms=now_ms),
         )
 
     def _rate_limit_reports(
@@ -190,6 +194,15 @@
             for report in reports
         )
 
+    def _leaving_reports(
+        self, *, changed_only: bool, now_ms: int
+    ) -> tuple[LeavingTargetReport, ...]:
+        reports = self._state.notices.reports(changed_only=changed_only, now_ms=now_ms)
+        return tuple(
+            LeavingTargetReport(target=report.target, age_ms=report.age_ms)
+            for report in reports
+        )
+
     def _sorted_loads(self) -> list[TargetLoad]:
         loads = self._state.scheduler.loads()
         return sorted(loads, key=lambda load: load.target.name)
@@ -313,6 +326,11 @@
             state.quota.record_leaving(peer.incarnation)
         if message.rate_limits:
             self._apply_rate_limits(message.rate_limits, peer=peer.member.name)
+        for leaving in message.leaving_targets:
+            state.apply_leaving_report(
+                LeavingReport(target=leaving.target, age_ms=leaving.age_ms),
+                peer=peer.member.name,
+            )
         waiting = [
             (queue_report.pool, queue_report.rank, queue_report.count)
             for queue_report in message.waiting
--- a/pistachiohaven/components/gateway/_state.py
+++ b/pistachiohaven/components/gateway/_state.py
@@ -6,15 +6,21 @@
 from result import Err
 
 from pistachiohaven import platform
-from pistachiohaven.components.exchange import Exchange
+from pistachiohaven.components.exchange import Exchange, short_hash
 from pistachiohaven.components.fleet import (
     Catalogue,
     RouteTable,
     StoreRecord,
+    Target,
     TargetChange,
     TargetList,
 )
-from pistachiohaven.components.placement import Scheduler
+from pistachiohaven.components.notice import (
+    LeavingNotice,
+    LeavingReport,
+    TargetNotices,
+)
+from pistachiohaven.components.placement import Scheduler, TargetLoad
 from pistachiohaven.components.quota import QuotaLedger, QuotaTolerance
 from pistachiohaven.components.rate_limit import LimitChange, LimitReport, RateLimits
 from pistachiohaven.components.retry import WindowBudget
@@ -32,7 +38,8 @@
 
     `last_store_response_ms` and `draining_since_ms` are monotonic times; the former is
     None before the first response, the latter until the gateway drains.
-    `removed_addresses` lists targets whose idle connections are still to be closed.
+    `removed_addresses` lists removed and leaving targets whose idle connections are
+    still to be closed.
     """
 
     def __init__(self, *, settings: GatewaySettings, clock: Clock) -> None:
@@ -46,10 +53,12 @@
         self.targets = TargetList()
         self.started_ms = clock.now_ms()
         self.rate_limits = RateLimits(name=settings.exchange_address)
+        self.notices = TargetNotices()
         self.scheduler = Scheduler(
             name=self.incarnation,
             started_ms=self.started_ms,
             rate_limits=self.rate_limits,
+            notices=self.notices,
         )
         self.placer = Placer(scheduler=self.scheduler, clock=clock)
         self.stall_monitor = StallMonitor(clock=clock)
@@ -96,10 +105,17 @@
     # Readiness
 
     def is_ready(self) -> bool:
-        """Return True if this gateway can serve callers."""
+        """Return True if this gateway can serve callers.
+
+        It needs a configuration and a target that has not said that it leaves.
+        """
         if self.draining_since_ms is not None or self.route_table is None:
             return False
-        return any(not target.leaving for target in self.targets.all())
+        return any(
+            not target.leaving
+            and not self.notices.is_leaving(short_hash(target.incarnation))
+            for target in self.targets.all()
+        )
 
     def store_response_age_ms(self) -> int | None:
         """Return the time since the store last responded, None if it never has."""
@@ -118,7 +134,41 @@
             )
         return self._retry_budgets[pool]
 
-    # Rate limits of targets
+    # Notices and rate limits of targets
+
+    def observe_notices(self, load: TargetLoad, headers: platform.Headers) -> None:
+        """Apply what a response of the target of `load` says about further requests."""
+        if not platform.decode_leaving(headers):
+            return
+        notice = self.notices.observe_leaving(
+            load.incarnation_hash, now_ms=self.clock.now_ms()
+        )
+        if notice is not None:
+            self._apply_leaving(load, notice)
+
+    def apply_leaving_report(self, report: LeavingReport, *, peer: str) -> None:
+        """Apply the notice of a target that `peer` passed on.
+
+        A target that is not known yet will not be used once the store lists it.
+        """
+        notice = self.notices.apply_report(
+            report, peer=peer, now_ms=self.clock.now_ms()
+        )
+        if notice is None:
+            return
+        for load in self.scheduler.loads():
+            if load.incarnation_hash == report.target:
+                self._apply_leaving(load, notice)
+
+    def _apply_leaving(self, load: TargetLoad, notice: LeavingNotice) -> None:
+        """Log a notice and have the target's idle connections closed."""
+        self.removed_addresses.append(load.target.address)
+        self.log.info(
+            "target_leaving",
+            target=load.target.name,
+            age_ms=self.clock.now_ms() - notice.said_ms,
+            source=notice.source,
+        )
 
     def observe_rate_limit(
         self, target: str, headers: platform.Headers, *, sent_ms: int
@@ -342,6 +392,17 @@
             revision=revision,
             source=source,
         )
+        if change.after is not None:
+            self._apply_known_notice(change.after)
+
+    def _apply_known_notice(self, target: Target) -> None:
+        """Apply the notice of a target that the store lists as ready again."""
+        load = self.scheduler.load(target.name)
+        if load is None or target.leaving:
+            return
+        notice = self.notices.leaving_notice(load.incarnation_hash)
+        if notice is not None:
+            self._apply_leaving(load, notice)
 
 
 def _describe_state(change: TargetChange) -> str:
--- a/pistachiohaven/components/placement/_load.py
+++ b/pistachiohaven/components/placement/_load.py
@@ -3,7 +3,9 @@
 from collections import OrderedDict, deque
 from dataclasses import dataclass
 
+from pistachiohaven.components.exchange import short_hash
 from pistachiohaven.components.fleet import Target
+from pistachiohaven.components.notice import TargetNotices
 from pistachiohaven.components.rate_limit import RateLimits
 from pistachiohaven.const import MS_PER_S
 from pistachiohaven.helpers import Ewma
@@ -66,7 +68,8 @@
     """Running requests, measured speed and failures of one target incarnation.
 
     `cache_tokens` is the size of an engine's KV cache. The target gets no more requests
-    than `rate_limits` allow. All times are monotonic milliseconds.
+    than `rate_limits` allow, and none against its `notices`, in which
+    `incarnation_hash` names it. All times are monotonic milliseconds.
     """
 
     def __init__(
@@ -76,8 +79,11 @@
         is_engine: bool,
         cache_tokens: int,
         rate_limits: RateLimits,
+        notices: TargetNotices,
     ) -> None:
         self.target = target
+        self.incarnation_hash = short_hash(target.incarnation)
+        self._notices = notices
         self._rate_limits = rate_limits
         self.is_engine = is_engine
         self._cache_limit_tokens = int(cache_tokens * CACHE_MEMORY_SHARE)
@@ -215,13 +221,23 @@
 
     # Availability and expected times
 
+    @property
+    def is_leaving(self) -> bool:
+        """Return True if the store lists the target as leaving or it said so itself."""
+        return self.target.leaving or self._notices.is_leaving(self.incarnation_hash)
+
+    @property
+    def accepts_requests(self) -> bool:
+        """Return False if a request that was placed must not be sent any more."""
+        return not self._notices.is_leaving(self.incarnation_hash)
+
     def has_free_slot(self, *, now_ms: int) -> bool:
         """Return True if the target takes a request of this entry now.
 
         It is available, has a free slot, and its rate limit leaves a request. A target
         that is probed after a failure takes one request at a time.
         """
-        if self.target.leaving or now_ms < self._excluded_until_ms:
+        if not self.is_usable(now_ms=now_ms):
             return False
         if self._allowed_requests(now_ms=now_ms) < 1:
             return False
@@ -255,7 +271,7 @@
 
     def is_usable(self, *, now_ms: int) -> bool:
         """Return True if the target is neither leaving nor excluded."""
-        return not self.target.leaving and now_ms >= self._excluded_until_ms
+        return not self.is_leaving and now_ms >= self._excluded_until_ms
 
     def excluded_until_ms(self) -> int:
         """Return the monotonic time at which the exclusion ends."""
--- a/pistachiohaven/components/placement/_scheduler.py
+++ b/pistachiohaven/components/placement/_scheduler.py
@@ -4,6 +4,7 @@
 from dataclasses import replace
 
 from pistachiohaven.components.fleet import Pool, Target
+from pistachiohaven.components.notice import TargetNotices
 from pistachiohaven.components.rate_limit import RateLimits
 from pistachiohaven.core import Reason
 from pistachiohaven.helpers import Ewma, rendezvous_order
@@ -33,7 +34,8 @@
     their first-byte target are served before late ones; otherwise a queue that once
     grew would make every later request late, too. A rank that is served much less often
     than the more urgent ones gets a few slots ahead of them. `name` is that of this
-    entry, which started at `started_ms`. `rate_limits` are those that targets name.
+    entry, which started at `started_ms`. `rate_limits` and `notices` are what targets
+    say about the requests that they take.
     """
 
     def __init__(
@@ -42,9 +44,11 @@
         name: str = "",
         started_ms: int = 0,
         rate_limits: RateLimits | None = None,
+        notices: TargetNotices | None = None,
     ) -> None:
         self._name = name
         self._rate_limits = rate_limits or RateLimits()
+        self._notices = notices or TargetNotices()
         self._started_ms = started_ms
         self._expected_peers = 0
         self._loads: dict[str, TargetLoad] = {}
@@ -76,6 +80,7 @@
             is_engine=pool.is_engine if pool else True,
             cache_tokens=pool.cache_tokens if pool else 0,
             rate_limits=self._rate_limits,
+            notices=self._notices,
         )
 
     def drop_target(self, name: str) -> None:
@@ -409,5 +414,5 @@
 
         Targets that are leaving are never returned.
         """
-        loads = [load for load in self._pool_loads(pool) if not load.target.leaving]
+        loads = [load for load in self._pool_loads(pool) if not load.is_leaving]
         return [load for load in loads if load.is_usable(now_ms=now_ms)] or loads
--- a/pistachiohaven/platform/_calls.py
+++ b/pistachiohaven/platform/_calls.py
@@ -207,6 +207,15 @@
     return None
 
 
+def decode_leaving(headers: Headers) -> bool:
+    """Return True if the target that responds says that it leaves.
+
+    The value is 1; an empty one and 0 say nothing.
+    """
+    values = [value.strip() for name, value in headers if name == wire.LEAVING]
+    return any(value not in {b"", b"0"} for value in values)
+
+
 def decode_rate_limit(headers: Headers) -> Result[float | None, str]:
     """Return the rate limit of the target that responds, None if it names none.
 
--- a/pistachiohaven/platform/const.py
+++ b/pistachiohaven/platform/const.py
@@ -28,6 +28,9 @@
 LAST_EVENT_ID: Final = b"last-event-id"
 """Header with the id of the last event that the caller has."""
 
+LEAVING: Final = b"server-leaving"
+"""Header with which a target says that it leaves."""
+
 LENGTH_HINT: Final = b"pistachiohaven-length-hint"
 """Header with the number of output tokens that the caller expects."""
 
--- a/tests/components/gateway/stand_ins.py
+++ b/tests/components/gateway/stand_ins.py
@@ -46,6 +46,7 @@
         self.address = ""
         self.received: list[ReceivedRequest] = []
         self.connections = 0
+        self.open_connections = 0
 
     async def respond(
         self, request: ReceivedRequest, stream: trio.SocketStream
@@ -65,6 +66,7 @@
 
     async def _serve(self, stream: trio.SocketStream) -> None:
         self.connections += 1
+        self.open_connections += 1
         connection = h11.Connection(h11.SERVER)
         try:
             while True:
@@ -74,6 +76,7 @@
                 connection = h11.Connection(h11.SERVER)
         except (trio.BrokenResourceError, trio.ClosedResourceError):
             pass
+        self.open_connections -= 1
         await stream.aclose()
 
     async def _read(
--- a/tests/components/gateway/test_leaving_target.py
+++ b/tests/components/gateway/test_leaving_target.py
@@ -5,6 +5,8 @@
 import pytest
 import trio
 
+from pistachiohaven.components.gateway._connections import ConnectionPool
+
 from .stand_ins import GatewayHarness, ReceivedRequest, encode_response, send_chunk
 from .test_gateway import COMPLETE_STREAM, with_harness
 
@@ -47,7 +49,6 @@
     await harness.wait_until(is_applied)
 
 
-@pytest.mark.known_red
 @with_harness()
 async def test_target_that_leaves_by_its_answer_gets_no_more_requests(
     harness: GatewayHarness,
@@ -58,7 +59,6 @@
     assert len(harness.targets[0].received) == received
 
 
-@pytest.mark.known_red
 @with_harness(targets=1)
 async def test_leaving_target_that_the_store_lists_again_stays_unused(
     harness: GatewayHarness,
@@ -82,7 +82,6 @@
     assert len(only.received) == received
 
 
-@pytest.mark.known_red
 @with_harness()
 async def test_gateway_without_a_store_stops_using_a_leaving_target(
     harness: GatewayHarness,
@@ -93,7 +92,6 @@
     assert len(harness.targets[0].received) == received
 
 
-@pytest.mark.known_red
 @pytest.mark.parametrize("status", [500, 503])
 def test_error_of_a_leaving_target_says_that_it_leaves(status: int) -> None:
     @with_harness(targets=1)
@@ -114,7 +112,6 @@
     run()
 
 
-@pytest.mark.known_red
 @with_harness()
 async def test_peer_stops_using_a_target_that_left_by_its_answer(
     harness: GatewayHarness,
@@ -178,3 +175,86 @@
         return (await harness.call("/again/x")).status == 200
 
     await harness.wait_until(is_served)
+
+
+def test_request_that_waits_for_a_connection_is_not_sent_to_a_leaving_target(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """The target says that it leaves after the request was placed there."""
+    connect = ConnectionPool.acquire
+    addresses: list[str] = []
+    may_connect = trio.Event()
+
+    async def connect_late(self: ConnectionPool, address: str) -> object:
+        addresses.append(address)
+        if len(addresses) > 1:
+            await may_connect.wait()
+        return await connect(self, address)
+
+    @with_harness(targets=1)
+    async def run(harness: GatewayHarness) -> None:
+        (only,) = harness.targets
+        only.is_leaving = True
+        statuses = []
+
+        async def answer_late(
+            request: ReceivedRequest, stream: trio.SocketStream
+        ) -> bool:
+            while len(addresses) < 2:
+                await trio.sleep(0.01)
+            return await only.respond_normally(request, stream)
+
+        only.script.steps = [answer_late]
+
+        async def call() -> None:
+            statuses.append((await harness.call("/once/x")).status)
+            may_connect.set()
+
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(call)
+            nursery.start_soon(call)
+        assert statuses == [200, 503]
+        assert len(only.received) == 1
+
+    monkeypatch.setattr(ConnectionPool, "acquire", connect_late)
+    run()
+
+
+@with_harness()
+async def test_answer_of_another_target_says_nothing_about_this_one(
+    harness: GatewayHarness,
+) -> None:
+    """A target that is leaving answers with 421 at the address of another one."""
+    first = harness.targets[0]
+
+    async def misdirect(_request: ReceivedRequest, stream: trio.SocketStream) -> bool:
+        headers = {"Server-Leaving": "1"}
+        await stream.send_all(encode_response(421, b"", headers))
+        return True
+
+    first.script.steps = [misdirect]
+    while not first.received:
+        assert (await harness.call("/again/x")).status == 200
+    assert not (await known_targets(harness))["i-0"]
+
+
+@with_harness(targets=1)
+async def test_gateway_whose_targets_all_leave_is_unready(
+    harness: GatewayHarness,
+) -> None:
+    await let_leave(harness)
+    assert not await harness.is_ready()
+
+
+@with_harness(targets=1)
+async def test_idle_connections_of_a_leaving_target_are_closed(
+    harness: GatewayHarness,
+) -> None:
+    (only,) = harness.targets
+    await let_leave(harness)
+
+    async def are_closed() -> bool:
+        return only.open_connections == 0
+
+    with trio.fail_after(2):
+        await harness.wait_until(are_closed)
--- a/tests/components/gateway/test_stall.py
+++ b/tests/components/gateway/test_stall.py
@@ -6,6 +6,7 @@
 
 from pistachiohaven.components.fleet import Target
 from pistachiohaven.components.gateway._stall import StallDetector
+from pistachiohaven.components.notice import TargetNotices
 from pistachiohaven.components.placement import TargetLoad
 from pistachiohaven.components.rate_limit import RateLimits
 from pistachiohaven.const import MS_PER_S
@@ -39,7 +40,11 @@
             started_ms=1,
         )
         self.load = TargetLoad(
-            target=target, is_engine=True, cache_tokens=0, rate_limits=RateLimits()
+            target=target,
+            is_engine=True,
+            cache_tokens=0,
+            rate_limits=RateLimits(),
+            notices=TargetNotices(),
         )
         self.detector = StallDetector(
             request_id="r",
--- /dev/null
+++ b/tests/components/notice/test_core.py
@@ -0,0 +1,125 @@
+"""Tests of the notices that targets leave, on a virtual clock."""
+
+from pistachiohaven.components.exchange import (
+    Digest,
+    LeavingTargetReport,
+    Member,
+    Update,
+    decode_datagram,
+    encode_datagram,
+    short_hash,
+)
+from pistachiohaven.components.notice import LeavingReport, TargetNotices
+from pistachiohaven.components.notice.const import (
+    CHANGE_REPORT_MS,
+    MAX_NOTICES,
+    MAX_REPORTS,
+    REPORT_AGE_MS,
+)
+
+TARGET = short_hash("i-0@1")
+
+
+def test_first_notice_of_a_target_is_kept_with_its_time_and_source() -> None:
+    notices = TargetNotices()
+    notice = notices.observe_leaving(TARGET, now_ms=1_000)
+    assert notice is not None
+    assert (notice.said_ms, notice.source) == (1_000, "target")
+    assert notices.observe_leaving(TARGET, now_ms=2_000) is None
+    report = LeavingReport(target=TARGET, age_ms=5_000)
+    assert notices.apply_report(report, peer="b", now_ms=2_000) is None
+    assert notices.leaving_notice(TARGET) == notice
+    assert notices.is_leaving(TARGET)
+    assert not notices.is_leaving(short_hash("i-0@2"))
+
+
+def test_notice_of_a_peer_keeps_its_age() -> None:
+    notices = TargetNotices()
+    report = LeavingReport(target=TARGET, age_ms=700)
+    notice = notices.apply_report(report, peer="b", now_ms=1_000)
+    assert notice is not None
+    assert (notice.said_ms, notice.learned_ms, notice.source) == (300, 1_000, "b")
+    assert notices.reports(changed_only=True, now_ms=1_100) == [
+        LeavingReport(target=TARGET, age_ms=800)
+    ]
+
+
+def test_notice_with_a_negative_age_counts_as_new() -> None:
+    notices = TargetNotices()
+    report = LeavingReport(target=TARGET, age_ms=-9)
+    notice = notices.apply_report(report, peer="b", now_ms=1_000)
+    assert notice is not None
+    assert notice.said_ms == 1_000
+
+
+def test_updates_pass_new_notices_on_and_digests_all_recent_ones() -> None:
+    notices = TargetNotices()
+    notices.observe_leaving(TARGET, now_ms=0)
+    assert notices.reports(changed_only=True, now_ms=CHANGE_REPORT_MS - 1)
+    assert not notices.reports(changed_only=True, now_ms=CHANGE_REPORT_MS)
+    assert notices.reports(changed_only=False, now_ms=REPORT_AGE_MS - 1)
+    assert not notices.reports(changed_only=False, now_ms=REPORT_AGE_MS)
+    assert notices.is_leaving(TARGET)
+
+
+def test_notices_and_reports_are_bounded() -> None:
+    notices = TargetNotices()
+    for number in range(MAX_NOTICES + 1):
+        notices.observe_leaving(number, now_ms=number)
+    reports = notices.reports(changed_only=False, now_ms=MAX_NOTICES)
+    assert len(reports) == MAX_REPORTS
+    assert reports[0].target == MAX_NOTICES
+    assert not notices.is_leaving(0)
+    assert notices.is_leaving(1)
+
+
+def make_update(*leaving_targets: LeavingTargetReport) -> Update:
+    return Update(
+        sender=1,
+        sequence=2,
+        leaving=False,
+        revision=3,
+        targets=4,
+        running=b"",
+        prefill=b"",
+        waiting=(),
+        used_tokens={},
+        leaving_targets=leaving_targets,
+    )
+
+
+def make_digest(*leaving_targets: LeavingTargetReport) -> Digest:
+    return Digest(
+        sender=Member(name="a", address="10.0.0.1:1"),
+        control_address="10.0.0.1:2",
+        incarnation="x",
+        sequence=1,
+        uptime_ms=1,
+        leaving=False,
+        revision=1,
+        members=(),
+        running=(),
+        waiting=(),
+        used_tokens={},
+        leaving_targets=leaving_targets,
+    )
+
+
+def test_datagrams_of_processes_without_the_field_are_decoded() -> None:
+    """The last field is cut off; a list of up to 15 items has its length in a byte."""
+    for message in (make_update(), make_digest()):
+        encoded = encode_datagram(message)
+        assert encoded[-1:] == b"\x90"
+        assert decode_datagram(shorten(encoded)).ok_value == message
+
+
+def shorten(encoded: bytes) -> bytes:
+    """Return an encoded array without its last item, an empty array."""
+    return bytes([encoded[0] - 1]) + encoded[1:-1]
+
+
+def test_notice_takes_at_most_eleven_bytes() -> None:
+    report = LeavingTargetReport(target=0xFFFFFFFF, age_ms=REPORT_AGE_MS)
+    for make in (make_update, make_digest):
+        added = len(encode_datagram(make(report))) - len(encode_datagram(make()))
+        assert added <= 11
--- a/tests/components/placement/test_scheduler.py
+++ b/tests/components/placement/test_scheduler.py
@@ -7,6 +7,7 @@
 
 from pistachiohaven.components.exchange import short_hash
 from pistachiohaven.components.fleet import Pool, Target
+from pistachiohaven.components.notice import TargetNotices
 from pistachiohaven.components.placement import (
     Job,
     PeerLoad,
@@ -40,8 +41,10 @@
     )
 
 
-def make_scheduler(*targets: Target, name: str = "") -> Scheduler:
-    scheduler = Scheduler(name=name)
+def make_scheduler(
+    *targets: Target, name: str = "", notices: TargetNotices | None = None
+) -> Scheduler:
+    scheduler = Scheduler(name=name, notices=notices)
     scheduler.configure({"p": POOL})
     for item in targets:
         scheduler.put_target(item)
@@ -267,6 +270,32 @@
     assert {item.target for item in decisions if isinstance(item, Placement)} == {"b"}
 
 
+def test_notice_of_leaving_outlasts_the_load_of_its_target() -> None:
+    """Neither the store, a recovered stall nor a response undoes it."""
+    notices = TargetNotices()
+    scheduler = make_scheduler(target("a", slots=4), notices=notices)
+    fill(scheduler, 2)
+    load = scheduler.load("a")
+    assert load is not None
+    notices.observe_leaving(load.incarnation_hash, now_ms=0)
+    load.record_stall(now_ms=10)
+    load.clear_stall(now_ms=20)
+    end(scheduler, "fill-0", now_ms=30)
+    assert not load.accepts_requests
+    assert not load.has_free_slot(now_ms=30)
+    assert not scheduler.has_alternative(job("w"), "b", now_ms=30)
+    end(scheduler, "fill-1", now_ms=40)
+    scheduler.drop_target("a")
+    assert scheduler.load("a") is None
+    scheduler.put_target(target("a", slots=4))
+    refusal = scheduler.submit(job("w"), now_ms=50)
+    assert isinstance(refusal, Refusal)
+    assert refusal.reason is Reason.NO_TARGET
+    scheduler.put_target(target("a", slots=4, started_ms=2))
+    scheduler.submit(job("w"), now_ms=60)
+    assert placed(scheduler, now_ms=60) == ["w"]
+
+
 def test_request_is_not_placed_at_an_excluded_target() -> None:
     scheduler = make_scheduler(target("a"), target("b"))
     scheduler.submit(job("w", excluded_targets={"a"}), now_ms=0)
--- a/tests/platform/test_calls.py
+++ b/tests/platform/test_calls.py
@@ -7,12 +7,14 @@
     CallHead,
     CallHeadError,
     decode_call,
+    decode_leaving,
     decode_rate_limit,
     encode_dispatch,
     encode_refusal,
     find_attempt_id,
     is_stamped,
     never_ran,
+    response_headers,
 )
 
 Headers = list[tuple[bytes, bytes]]
@@ -146,6 +148,28 @@
     assert not is_stamped([(b"pistachiohaven-server-stamp", b"")])
 
 
+@pytest.mark.parametrize(
+    ("headers", "expected"),
+    [
+        ([], False),
+        ([(b"server-leaving", b"1")], True),
+        ([(b"server-leaving", b" 1 ")], True),
+        ([(b"server-leaving", b"0")], False),
+        ([(b"server-leaving", b"")], False),
+        ([(b"server-leaving", b"0"), (b"server-leaving", b"1")], True),
+    ],
+)
+def test_notice_of_leaving_is_decoded(
+    headers: list[tuple[bytes, bytes]], expected: bool
+) -> None:
+    assert decode_leaving(headers) is expected
+
+
+def test_notice_of_leaving_is_passed_on_to_the_caller() -> None:
+    headers = [(b"server-leaving", b"1"), (b"retry-after", b"2")]
+    assert response_headers(headers) == headers
+
+
 @pytest.mark.parametrize(
     ("headers", "expected"),
     [
