List a crash on requests of a starved rank while all targets leave

Found by reading the expected wait for the notices of leaving targets: the mean service time of no target is computed. One new test fails with StatisticsError.

--- a/tests/components/placement/test_scheduler.py
+++ b/tests/components/placement/test_scheduler.py
@@ -412,3 +412,19 @@
     scheduler.submit(job("short", at_ms=100, output_tokens=10), now_ms=100)
     end(scheduler, "fill-0", now_ms=120)
     assert placed(scheduler, now_ms=120) == ["resumed"]
+
+
+@pytest.mark.known_red
+def test_request_of_a_starved_rank_is_refused_when_all_targets_leave() -> None:
+    scheduler = make_scheduler(target("a", slots=1))
+    fill(scheduler, 1)
+    for number in range(40):
+        scheduler.submit(job(f"low-{number}", rank=3), now_ms=0)
+        scheduler.schedule(now_ms=0)
+    scheduler.schedule(now_ms=3_000)
+    fill_load = scheduler.load("a")
+    assert fill_load is not None
+    fill_load.target = replace(fill_load.target, leaving=True)
+    refusal = scheduler.submit(job("w", rank=3, at_ms=3_000), now_ms=3_000)
+    assert isinstance(refusal, Refusal)
+    assert refusal.reason is Reason.NO_TARGET
