Log what each read of the store and of a peer returned

The record of CONFIG on real processes shows that reads of the store succeeded without a newer version, not which reads these were. Each read now logs its revisions, its number of changes and how many were applied, which tells apart a change that was read and ignored, one that no response had, and a watch that did not end.

--- a/pistachiohaven/components/gateway/_state.py
+++ b/pistachiohaven/components/gateway/_state.py
@@ -216,16 +216,19 @@
         revision: int,
         source: str,
         is_restored: bool = False,
-    ) -> None:
+    ) -> int:
         """Apply the changes that are newer than the current records.
 
+        Return the number of changes that were applied.
         `revision` is the one up to which the changes are complete, 0 if unknown.
         `source` is "store" or the name of a peer, for the logs. If `is_restored`, the
         store was restored from a copy, which may list targets that have left.
         """
+        applied = 0
         for change in changes:
             if not self.catalogue.apply(change):
                 continue
+            applied += 1
             if change.key == platform.CONFIG_KEY:
                 self._apply_config(change, source=source)
             elif change.key.startswith(platform.TARGETS_PREFIX):
@@ -233,6 +236,7 @@
         self.catalogue.advance(revision)
         self.metrics.revision.set(self.catalogue.revision)
         self.placer.schedule_waiting()
+        return applied
 
     def apply_full_list(
         self,
@@ -241,14 +245,18 @@
         *,
         revision: int,
         is_restored: bool = False,
-    ) -> None:
-        """Apply a full list of the keys under `prefix`; absent keys are deleted."""
+    ) -> int:
+        """Apply a full list of the keys under `prefix`; absent keys are deleted.
+
+        Return the number of changes that were applied.
+        """
         keys = {item.key for item in items}
         deletions = self.catalogue.implied_deletions(prefix, keys, revision)
-        self.apply_changes(
+        applied = self.apply_changes(
             [*items, *deletions], revision=0, source="store", is_restored=is_restored
         )
         self.catalogue.forget_deletions_before(revision)
+        return applied
 
     def expire_targets(self) -> None:
         """Remove targets that have not registered again since the store recovered."""
--- a/pistachiohaven/components/gateway/_store_watch.py
+++ b/pistachiohaven/components/gateway/_store_watch.py
@@ -131,8 +131,10 @@
         is_restored = state.is_restored_at(revision)
         if is_restored:
             state.on_store_restored(revision=revision, source="store")
-        state.apply_changes(_to_records(config_snapshot), revision=0, source="store")
-        state.apply_full_list(
+        applied = state.apply_changes(
+            _to_records(config_snapshot), revision=0, source="store"
+        )
+        applied += state.apply_full_list(
             platform.TARGETS_PREFIX,
             _to_records(targets_read.ok_value),
             revision=revision,
@@ -142,6 +144,13 @@
         state.catalogue.advance(watch_revision)
         self._watch_revision = watch_revision
         self._is_synced = True
+        state.log.info(
+            "store_read",
+            config_revision=config_snapshot.revision,
+            items=len(targets_read.ok_value.changes),
+            applied=applied,
+            revision=watch_revision,
+        )
         return Ok(None)
 
     async def _watch_changes(self) -> Result[None, platform.StoreError]:
@@ -149,19 +158,28 @@
 
         If the store has discarded the history needed, the next read is a full one.
         """
-        result = await self._store.watch(
-            "", after=self._watch_revision, wait_ms=STORE_WATCH_WAIT_MS
-        )
+        state = self._state
+        after = self._watch_revision
+        sent_ms = state.clock.now_ms()
+        result = await self._store.watch("", after=after, wait_ms=STORE_WATCH_WAIT_MS)
         if isinstance(result, Err):
             if result.err_value is platform.StoreError.HISTORY_GONE:
                 self._is_synced = False
             return result
         self._handle_recovery()
         snapshot = result.ok_value
-        self._state.apply_changes(
+        applied = state.apply_changes(
             _to_records(snapshot), revision=snapshot.revision, source="store"
         )
-        self._watch_revision = max(self._watch_revision, snapshot.revision)
+        self._watch_revision = max(after, snapshot.revision)
+        state.log.info(
+            "store_watched",
+            after=after,
+            events=len(snapshot.changes),
+            applied=applied,
+            revision=snapshot.revision,
+            took_ms=state.clock.now_ms() - sent_ms,
+        )
         return Ok(None)
 
     def _handle_recovery(self) -> None:
@@ -182,6 +200,7 @@
             state.log.info("store_history_gone", revision=state.catalogue.revision)
             return
         age_ms = state.store_response_age_ms()
+        state.log.info("store_read_failed", error=error, silent_ms=age_ms)
         if not self._is_store_lost and (age_ms is None or age_ms > STORE_LOST_AFTER_MS):
             self._is_store_lost = True
             state.log.info("store_lost", error=error, silent_ms=age_ms)
@@ -222,12 +241,21 @@
         is_restored = state.is_restored_at(response.revision)
         if is_restored:
             state.on_store_restored(revision=response.revision, source=peer.member.name)
-        state.apply_changes(
+        before = state.catalogue.revision
+        applied = state.apply_changes(
             changes,
             revision=response.revision,
             source=peer.member.name,
             is_restored=is_restored,
         )
+        state.log.info(
+            "peer_records_read",
+            peer=peer.member.name,
+            records=len(changes),
+            applied=applied,
+            before=before,
+            revision=response.revision,
+        )
 
 
 def _to_records(snapshot: platform.Snapshot) -> list[StoreRecord]:
