--- a/tests/components/gateway/stand_ins.py
+++ b/tests/components/gateway/stand_ins.py
@@ -128,7 +128,8 @@
 class StoreStandIn(RawServer):
     """Stand-in for the platform's store, with reads, ranges and watches.
 
-    With `is_down`, all requests fail with status 503. Each response carries the era,
+    With `is_down`, all requests fail with status 503. With `is_deaf`, watches end
+    without events, although their `at` is current. Each response carries the era,
     which rises when the store is restored from a copy.
     """
 
@@ -140,6 +141,7 @@
         self.items: dict[str, tuple[bytes, int]] = {}
         self.events: list[dict[str, Any]] = []
         self.is_down = False
+        self.is_deaf = False
         self._changed = trio.Event()
 
     def put(self, key: str, value: object) -> None:
@@ -184,10 +186,15 @@
         self, request: ReceivedRequest, stream: trio.SocketStream
     ) -> bool:
         """Respond as the platform's API specifies."""
+        status, body = await self.answer(request.target)
+        await stream.send_all(encode_response(status, body, self.era_header()))
+        return True
+
+    async def answer(self, target: str) -> tuple[int, bytes]:
+        """Return status and body of the response to a GET request of `target`."""
         if self.is_down:
-            await stream.send_all(encode_response(503, b"", self._era_header()))
-            return True
-        url = urlsplit(request.target)
+            return 503, b""
+        url = urlsplit(target)
         query = {name: values[0] for name, values in parse_qs(url.query).items()}
         status, content = 200, {}
         if url.path.endswith("/kv-key"):
@@ -202,11 +209,9 @@
             content = {"items": items, "hasMore": False}
         else:
             status, content = await self._watch(query)
-        body = json.dumps({**content, "at": self.revision}).encode()
-        await stream.send_all(encode_response(status, body, self._era_header()))
-        return True
+        return status, json.dumps({**content, "at": self.revision}).encode()
 
-    def _era_header(self) -> dict[str, str]:
+    def era_header(self) -> dict[str, str]:
         return {"Store-Era": str(self.era)}
 
     async def _watch(self, query: dict[str, str]) -> tuple[int, dict[str, Any]]:
@@ -222,6 +227,8 @@
         return 200, {"events": self._events_after(after)}
 
     def _events_after(self, revision: int) -> list[dict[str, Any]]:
+        if self.is_deaf:
+            return []
         return [event for event in self.events if event["revision"] > revision]
 
 
