--- a/tests/components/gateway/test_store_watch.py
+++ b/tests/components/gateway/test_store_watch.py
@@ -338,3 +338,28 @@
         assert node.store_calls <= math.ceil(24 * 4 / 3)
 
     run_node(monkeypatch, test)
+
+
+def test_version_written_after_a_restore_is_in_force(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """The store is away for 7 s and comes back from a copy without version 7.
+
+    Version 8 gets a revision that version 7 had before.
+    """
+
+    async def test(node: Node) -> None:
+        node.store.put("op/config", make_config(6))
+        copy = node.store.copy()
+        node.store.put("op/config", make_config(7))
+        await node.wait_for_version(7, timeout_ms=APPLY_MS)
+        node.silence()
+        await trio.sleep(7)
+        node.store.restore(copy)
+        node.is_silent = False
+        await trio.sleep(STABLE_MS / 1_000)
+        assert node.version == 7
+        node.store.put("op/config", make_config(8))
+        await node.wait_for_version(8, timeout_ms=APPLY_MS)
+
+    run_node(monkeypatch, test)
