--- a/tests/components/web/__init__.py
+++ b/tests/components/web/__init__.py
@@ -1,1 +1,1 @@
-"""Tests of the rate limits of targets."""
+"""Tests of the HTTP client and server component."""
