--- a/tests/components/gateway/test_peers.py
+++ b/tests/components/gateway/test_peers.py
@@ -236,3 +236,22 @@
         await wait_until(lambda: second.running("i-0") == 1)
 
     run_with_two_gateways(test)
+
+
+def test_notice_of_a_target_that_is_not_known_yet_is_kept() -> None:
+    async def test(first: PeerNode, second: PeerNode) -> None:
+        first.add_target("i-2")
+        load = first.gateway_state.scheduler.load("i-2")
+        assert load is not None
+        first.gateway_state.observe_notices(load, 200, [(b"server-leaving", b"1")])
+        notices = second.gateway_state.notices
+        await wait_until(lambda: notices.is_leaving(load.incarnation_hash))
+        second.add_target("i-2")
+        known_load = second.gateway_state.scheduler.load("i-2")
+        assert known_load is not None
+        assert known_load.is_leaving
+        notice = notices.leaving_notice(load.incarnation_hash)
+        assert notice is not None
+        assert notice.source == "a"
+
+    run_with_two_gateways(test)
--- a/tests/components/gateway/test_state.py
+++ b/tests/components/gateway/test_state.py
@@ -101,3 +101,25 @@
     response = msgspec.msgpack.decode(body, type=PeerStoreResponse)
     assert response.is_full
     assert [change.revision for change in response.changes] == [revision]
+
+
+def test_notice_of_leaving_outlasts_a_reload_and_a_restored_store() -> None:
+    state = make_state([0.0])
+    state.apply_changes([config_item(1, 1)], revision=1, source="store")
+    entry = {"service": "p", "address": "127.0.0.1:9", "state": "ready"}
+    value = json.dumps(entry).encode()
+    ready = StoreRecord(key="servers/i-1", value=value, revision=2)
+    state.apply_changes([ready], revision=2, source="store")
+    load = state.scheduler.load("i-1")
+    assert load is not None
+    state.observe_notices(load, 200, [(b"server-leaving", b"1")])
+    assert not state.is_ready()
+    state.reload(SETTINGS.model_copy(update={"retry_extra": 100.0}))
+    restored = StoreRecord(key="servers/i-1", value=value, revision=(1 << 40) + 2)
+    state.apply_changes(
+        [restored], revision=restored.revision, source="store", is_restored=True
+    )
+    known_load = state.scheduler.load("i-1")
+    assert known_load is not None
+    assert known_load.is_leaving
+    assert not state.is_ready()
--- a/tests/platform/test_names.py
+++ b/tests/platform/test_names.py
@@ -17,6 +17,8 @@
     "kv-key",
     "op/config",
     "servers/",
+    "server-leaving",
+    "server-limit",
     "coldRemainingMs",
     "trafficSplit",
     "streamResumption",
--- a/tests/test_layout.py
+++ b/tests/test_layout.py
@@ -13,6 +13,7 @@
     "gossip",
     "lifecycle",
     "membership",
+    "notice",
     "peer",
     "retry",
     "routing",
