Notice lost responses of the store before its changes are due

Requests were handled by an older version for up to 5 s after an outage of the store had ended: a watch whose response was lost ended after 3.2 s, pauses of up to 1.2 s followed, one more of them before the full read after a restore. Changes must be in force 3 s after such a disturbance.

--- a/pistachiohaven/components/gateway/_store_watch.py
+++ b/pistachiohaven/components/gateway/_store_watch.py
@@ -16,6 +16,7 @@
     PEER_READ_TIMEOUT_MS,
     STORE_CHECK_INTERVAL_MS,
     STORE_LOST_AFTER_MS,
+    STORE_PROBE_WAIT_MS,
     STORE_RETRY_DELAY_MS,
     STORE_RETRY_MAX_DELAY_MS,
     STORE_WATCH_WAIT_MS,
@@ -74,26 +75,28 @@
         )
         self._is_synced = False
         self._is_store_lost = False
+        self._failures = 0
         self._last_check_ms: int | None = None
 
     async def run(self) -> None:
         """Read the store in full, then watch it; runs until cancelled."""
-        failures = 0
         while True:
             result = await (
                 self._watch_changes() if self._is_synced else self._load_all()
             )
             self._state.metrics.store_reads.set(self._store.reads)
-            if isinstance(result, Err):
-                failures += 1
-                self._record_failure(result.err_value)
-                pause_ms = min(
-                    STORE_RETRY_DELAY_MS << failures, STORE_RETRY_MAX_DELAY_MS
-                )
-                await trio.sleep(pause_ms * self._state.rng.uniform(0.5, 1) / MS_PER_S)
+            if isinstance(result, Ok):
+                self._failures = 0
+                self._record_success()
                 continue
-            failures = 0
-            self._record_success()
+            self._failures += 1
+            if result.err_value is platform.StoreError.HISTORY_GONE:
+                self._failures = 1
+            self._record_failure(result.err_value)
+            pause_ms = min(
+                STORE_RETRY_DELAY_MS << (self._failures - 1), STORE_RETRY_MAX_DELAY_MS
+            )
+            await trio.sleep(pause_ms * self._state.rng.uniform(0.5, 1) / MS_PER_S)
 
     async def poll_peers(self) -> None:
         """Read newer records from a peer while the store does not respond.
@@ -164,12 +167,14 @@
     async def _watch_changes(self) -> Result[None, platform.StoreError]:
         """Wait for changes and apply them.
 
-        If the store has discarded the history needed, the next read is a full one.
+        After a failure the wait is short, so that a further one is noticed soon. If the
+        store has discarded the history needed, the next read is a full one.
         """
         state = self._state
         after = self._watch_revision
         sent_ms = state.clock.now_ms()
-        result = await self._store.watch("", after=after, wait_ms=STORE_WATCH_WAIT_MS)
+        wait_ms = STORE_PROBE_WAIT_MS if self._failures else STORE_WATCH_WAIT_MS
+        result = await self._store.watch("", after=after, wait_ms=wait_ms)
         if isinstance(result, Err):
             if result.err_value is platform.StoreError.HISTORY_GONE:
                 self._is_synced = False
--- a/pistachiohaven/components/gateway/const.py
+++ b/pistachiohaven/components/gateway/const.py
@@ -8,13 +8,16 @@
 Small compared with the shortest first-byte target, 100 ms.
 """
 
-STORE_WATCH_WAIT_MS: Final = 2_500
+STORE_WATCH_WAIT_MS: Final = 1_900
 """Longest wait of one watch call of the store.
 
-It leaves time for the response within the 3 s in which a stable store responds. The
-call itself times out later, as `platform.const.STORE_TIMEOUT_MS` is added to the wait.
+A call whose response is lost ends `platform.const.STORE_TIMEOUT_MS` later. Both, and
+the next call, must fit in the 3 s after which a change must be in force again.
 """
 
+STORE_PROBE_WAIT_MS: Final = 100
+"""Longest wait of a watch call after a failed read of the store."""
+
 STORE_RETRY_DELAY_MS: Final = 150
 """Base of the exponential backoff after failed reads of the store.
 
@@ -107,7 +110,7 @@
 CONFIG_STALE_AFTER_MS: Final = 4_000
 """Age of the store's last response above which an unknown route or key may be new.
 
-While the store is healthy, a watch call returns within its wait and timeout, 3.2 s:
+While the store is healthy, a watch call returns within its wait and timeout, 2.6 s:
 `STORE_WATCH_WAIT_MS` and `platform.const.STORE_TIMEOUT_MS`.
 """
 
