Log the software version of targets and what resumed requests name

The logs could not tell whether a stream went on at another version within one answer or over a caller's attempts. The version of a target is now read from its store entry and the name of the first attempt from the request; both are logged with placed, and the version with dispatch_failed, finished and target_changed. Refusals name the attempt, too. No decision uses them yet.

--- a/pistachiohaven/components/fleet/_models.py
+++ b/pistachiohaven/components/fleet/_models.py
@@ -106,6 +106,7 @@
     """One incarnation of a target.
 
     `slots` is the number of requests it runs concurrently; `started_ms` is Unix time.
+    `version` is that of its software, empty if unknown; versions have no order.
     """
 
     name: str
@@ -115,6 +116,7 @@
     slots: int
     leaving: bool
     started_ms: int
+    version: str = ""
 
     @property
     def incarnation(self) -> str:
--- a/pistachiohaven/components/gateway/_app.py
+++ b/pistachiohaven/components/gateway/_app.py
@@ -198,7 +198,11 @@
         is_finished = response.is_complete or incomplete is not None
         end_reason = handler.reason if is_finished else Reason.CALLER_LEFT
         self._log_finished(
-            call, response, end_reason, detail=str(incomplete) if incomplete else ""
+            call,
+            response,
+            end_reason,
+            version=handler.version,
+            detail=str(incomplete) if incomplete else "",
         )
 
     async def _send_refusal(
@@ -239,6 +243,7 @@
         response: ResponseWriter,
         reason: Reason | None,
         *,
+        version: str | None = None,
         detail: str = "",
     ) -> None:
         """Log the end of a request and update the metrics."""
@@ -258,6 +263,7 @@
             rank=call.rank,
             status=response.status,
             reason=reason,
+            version=version,
             detail=detail,
             first_byte_ms=first_byte_ms,
             total_ms=now_ms - call.arrived_ms,
--- a/pistachiohaven/components/gateway/_request.py
+++ b/pistachiohaven/components/gateway/_request.py
@@ -39,6 +39,7 @@
     `may_have_run` is True after a dispatch unless it is certain that the target did not
     run the request. While it is True, no response states that the request has not run.
     `reason` is why the request was refused or failed, None if neither happened.
+    `version` is that of the last target, None before the first dispatch.
     """
 
     def __init__(
@@ -62,6 +63,7 @@
         self._is_resend_budget_consumed = False
         self._target_error: CompleteResponse | None = None
         self.reason: Reason | None = None
+        self.version: str | None = None
 
     @property
     def may_have_run(self) -> bool:
@@ -122,6 +124,7 @@
         if load is None:
             return FailedDispatch(failure=Failure.NOT_SENT, detail="target gone")
         budget = state.retry_budget(self._call.pool_name)
+        self.version = load.target.version
         dispatch = Dispatch(
             state=state,
             call=self._call,
@@ -160,6 +163,7 @@
             "dispatch_failed",
             request_id=self._call.head.attempt_id,
             target=target,
+            version=self.version,
             failure=failed.failure,
             detail=failed.detail,
             sent=self._sent_count,
@@ -321,6 +325,9 @@
             route=self._call.route.name,
             rank=self._call.rank,
             target=placement.target,
+            version=load.target.version if load else None,
+            resumes=self._call.head.resumes,
+            resume_after=self._call.head.last_event_id,
             waited_ms=placement.waited_ms,
             expected_ms=round(placement.expected_ms),
             has_reserved_slot=placement.has_reserved_slot,
@@ -357,6 +364,7 @@
             request_id=self._call.head.attempt_id,
             reason=refusal.reason,
             pool=refusal.job.pool,
+            resumes=self._call.head.resumes,
             rank=refusal.job.rank,
             waiting=refusal.waiting,
             waited_ms=self._state.clock.now_ms() - refusal.job.arrived_ms,
--- a/pistachiohaven/components/gateway/_state.py
+++ b/pistachiohaven/components/gateway/_state.py
@@ -437,6 +437,7 @@
             pool=change.after.pool if change.after else None,
             address=change.after.address if change.after else None,
             slots=change.after.slots if change.after else None,
+            version=change.after.version if change.after else None,
             revision=revision,
             source=source,
         )
--- a/pistachiohaven/platform/_calls.py
+++ b/pistachiohaven/platform/_calls.py
@@ -40,8 +40,9 @@
     from the arrival of the request. `expected_output_tokens` is a hint of the caller.
     `prompt_parts` are the parts of the prompt in order, as (id, tokens); the last one
     belongs to this session only. `last_event_id` is that of the last event that the
-    caller has. Without token counts in the head, `has_token_counts` is False, and
-    `prompt_tokens` and `max_output_tokens` are 0.
+    caller has, and `resumes` the id of the attempt that brought the first one. Without
+    token counts in the head, `has_token_counts` is False, and `prompt_tokens` and
+    `max_output_tokens` are 0.
     """
 
     attempt_id: str
@@ -53,6 +54,7 @@
     expected_output_tokens: int | None
     prompt_parts: tuple[tuple[str, int], ...]
     last_event_id: int | None
+    resumes: str | None
     has_token_counts: bool
 
 
@@ -98,6 +100,7 @@
     length_hint = header_values.get(wire.LENGTH_HINT)
     event_id_value = header_values.get(wire.LAST_EVENT_ID)
     api_key = header_values.get(wire.CREDENTIAL)
+    resumes = header_values.get(wire.RESUMES)
     return CallHead(
         attempt_id=header_values[wire.ATTEMPT_ID].decode("latin-1"),
         host=header_values[b"host"].decode("latin-1"),
@@ -110,6 +113,7 @@
         last_event_id=int(event_id_value)
         if event_id_value and event_id_value.isdigit()
         else None,
+        resumes=resumes.decode("latin-1") if resumes else None,
         has_token_counts=token_counts is not None,
     )
 
@@ -173,7 +177,9 @@
         for part in value.split(b",")
     }
     return frozenset(
-        names - _UNREPEATABLE_HEADERS - {wire.PROMPT_PARTS, wire.LAST_EVENT_ID}
+        names
+        - _UNREPEATABLE_HEADERS
+        - {wire.PROMPT_PARTS, wire.LAST_EVENT_ID, wire.RESUMES}
     )
 
 
--- a/pistachiohaven/platform/_targets.py
+++ b/pistachiohaven/platform/_targets.py
@@ -29,6 +29,7 @@
     address: str
     state: str
     zone: str = ""
+    version: str = ""
     slots: int = DEFAULT_SLOTS
     born: int = 0
 
@@ -58,6 +59,7 @@
             pool=entry.service,
             address=entry.address,
             data_centre=entry.zone,
+            version=entry.version,
             slots=max(entry.slots, 1),
             leaving=leaving,
             started_ms=entry.born,
--- a/pistachiohaven/platform/const.py
+++ b/pistachiohaven/platform/const.py
@@ -43,6 +43,9 @@
 RATE_LIMIT: Final = b"server-limit"
 """Header with the requests per second that a target takes from all entries together."""
 
+RESUMES: Final = b"resumes"
+"""Header of a resumed request: the id of the attempt that brought its first event."""
+
 STAMP: Final = b"pistachiohaven-server-stamp"
 """Header with the signature of the target that responds."""
 
--- a/tests/platform/test_calls.py
+++ b/tests/platform/test_calls.py
@@ -216,3 +216,11 @@
     headers: list[tuple[bytes, bytes]], expected: Result[float | None, str]
 ) -> None:
     assert decode_rate_limit(headers) == expected
+
+
+def test_named_attempt_of_a_resumed_request_is_read_and_forwarded() -> None:
+    headers: Headers = [*HEAD, (b"connection", b"resumes"), (b"resumes", b"77aa")]
+    head = decode_call(headers).unwrap()
+    assert head.resumes == "77aa"
+    assert decode_call(HEAD).unwrap().resumes is None
+    assert dispatch(headers)[b"resumes"] == b"77aa"
--- a/tests/platform/test_published.py
+++ b/tests/platform/test_published.py
@@ -127,3 +127,9 @@
         Item(key="c", value=b"", revision=6),
     )
     assert decode_changes(b"[") == Err(StoreError.UNREADABLE)
+
+
+def test_software_version_of_a_target_is_read() -> None:
+    for fields, version in (({}, ""), ({"version": "v1.2"}, "v1.2")):
+        value = json.dumps({**ENTRY, **fields}).encode()
+        assert decode_target("servers/i-1", value).unwrap().version == version
