Keep each stream at the software version that began it

Cause: the version of a target was not read, so a broken stream went on at any target of its pool, and one that a caller took up again was placed like a new one. Class of fault: a word of a target that changes what it may take was dropped at the border.

Now a stream is bound to the version of its first event. Within an answer the scheduler uses only targets of that version, and the answer ends if none is left. Over a caller's attempts, the gateway that forwards the first event records the version by the first attempt's id and sends copies to 4 peers before the event; a gateway that takes the stream up uses its own record, or that no other version has served for as long as a stream lasts, or asks its peers, and refuses the request if nobody knows. A target that restarts under its name with another version is another incarnation.

--- a/pistachiohaven/components/exchange/_core.py
+++ b/pistachiohaven/components/exchange/_core.py
@@ -4,7 +4,7 @@
 from dataclasses import dataclass
 
 from pistachiohaven.const import MS_PER_S
-from pistachiohaven.helpers import TtlMap
+from pistachiohaven.helpers import TtlMap, rendezvous_order
 
 from ._messages import Digest, Member, Update, short_hash
 from .const import (
@@ -13,6 +13,7 @@
     LOST_PEER_RETENTION_MS,
     MAX_BYTES_PER_S,
     MEMBERS_PER_DIGEST,
+    OVERDUE_CYCLES,
     PEER_EXPIRY_MS,
     PEER_LIVE_MS,
     ROUNDS_PER_DIGEST,
@@ -98,6 +99,7 @@
         self._next_round_ms = 0
         self._first_round_ms: int | None = None
         self._rounds_since_digest = 0
+        self._extra_bytes = 0
         for address in seeds:
             self._add_peer(Member(name="", address=address), now_ms=0)
         self._seeds = frozenset(self._peers)
@@ -219,10 +221,37 @@
         return -(-len(self._peers) // FAN_OUT)
 
     def record_sent_bytes(self, size_bytes: int, *, now_ms: int) -> None:
-        """Record the bytes sent in a round; a large round delays the next one."""
+        """Record the bytes sent in a round; a large round delays the next one.
+
+        So do the bytes that were sent between the rounds.
+        """
+        size_bytes += self._extra_bytes
+        self._extra_bytes = 0
         spread_ms = size_bytes * MS_PER_S // MAX_BYTES_PER_S
         self._next_round_ms = now_ms + max(INTERVAL_MS, spread_ms)
 
+    def record_extra_bytes(self, size_bytes: int) -> None:
+        """Record bytes that are sent between the rounds."""
+        self._extra_bytes += size_bytes
+
+    def peers_in_order(self, key: str, *, now_ms: int) -> list[str]:
+        """Return the addresses of the other entries in rendezvous order of `key`.
+
+        Peers that are overdue come last; those that were never heard of may be starting
+        and do not count as overdue.
+        """
+        overdue_ms = max(
+            PEER_LIVE_MS, OVERDUE_CYCLES * self.rounds_per_cycle() * INTERVAL_MS
+        )
+        overdue_addresses = {
+            address
+            for address, peer in self._peers.items()
+            if peer.last_received_ms is not None
+            and now_ms - peer.last_received_ms >= overdue_ms
+        }
+        order = rendezvous_order(key, self._peers)
+        return sorted(order, key=lambda address: address in overdue_addresses)
+
     def find_newer_peer(self, revision: int, *, now_ms: int) -> Peer | None:
         """Return the live peer with the newest revision after `revision`, if any."""
         newer_peers = [
--- a/pistachiohaven/components/exchange/_messages.py
+++ b/pistachiohaven/components/exchange/_messages.py
@@ -118,7 +118,38 @@
     """Request for a digest, sent after an update of an unknown sender."""
 
 
-Datagram = Digest | Update | DigestRequest
+class StreamBegun(msgspec.Struct, array_like=True, frozen=True, kw_only=True, tag=3):
+    """Software version at which a stream began, sent before its first event is.
+
+    `stream` is the hash of the attempt id, `pool` that of the pool's name.
+    """
+
+    stream: int
+    pool: int
+    version: str
+
+
+class OriginQuery(msgspec.Struct, array_like=True, frozen=True, kw_only=True, tag=4):
+    """Question at which version a stream began that is taken up in `pool`."""
+
+    stream: int
+    pool: int
+
+
+class OriginReply(msgspec.Struct, array_like=True, frozen=True, kw_only=True, tag=5):
+    """Reply to an OriginQuery; `version` is None if the sender does not know it.
+
+    `pool` is the one in which the stream began. With `is_sole`, the sender does not
+    know the stream, but no other version has served the pool.
+    """
+
+    stream: int
+    pool: int
+    version: str | None
+    is_sole: bool = False
+
+
+Datagram = Digest | Update | DigestRequest | StreamBegun | OriginQuery | OriginReply
 
 
 def short_hash(name: str) -> int:
--- a/pistachiohaven/components/exchange/const.py
+++ b/pistachiohaven/components/exchange/const.py
@@ -37,6 +37,12 @@
 PEER_LIVE_MS: Final = 2_000
 """Age of a peer's last message up to which it counts as live."""
 
+OVERDUE_CYCLES: Final = 2
+"""Cycles of rounds without a message after which a peer is overdue.
+
+With 380 entries a cycle takes 10 s, so most peers that run are not live.
+"""
+
 STALE_PEER_INTERVAL_MS: Final = 1_000
 """Time between two messages to a peer that is not live."""
 
--- a/pistachiohaven/components/fleet/_models.py
+++ b/pistachiohaven/components/fleet/_models.py
@@ -120,5 +120,8 @@
 
     @property
     def incarnation(self) -> str:
-        """Return the name of this incarnation, which is unique to it."""
-        return f"{self.name}@{self.started_ms}"
+        """Return the name of this incarnation, which is unique to it.
+
+        A target that restarts with another version under its name is another one.
+        """
+        return f"{self.name}@{self.started_ms}/{self.version}"
--- a/pistachiohaven/components/gateway/_call.py
+++ b/pistachiohaven/components/gateway/_call.py
@@ -80,6 +80,13 @@
             self.route.rank, ROUTE_RANK_COUNT - 1
         )
 
+    @property
+    def is_stream_taken_up(self) -> bool:
+        """Return True if the caller has events of an earlier attempt."""
+        if self.route.kind is not RequestKind.STREAM or not self.route.is_resumable:
+            return False
+        return self.head.last_event_id is not None or self.head.resumes is not None
+
     def _max_wait_ms(self) -> int:
         """Return how long the caller waits for the first byte of the response."""
         route = self.route
--- a/pistachiohaven/components/gateway/_dispatch.py
+++ b/pistachiohaven/components/gateway/_dispatch.py
@@ -90,8 +90,9 @@
     """One attempt to run a request on one target.
 
     `may_move` is called with the failure that stopping now would be, and returns True
-    if the request can move from a stalled target to another one now. `is_sent` turns
-    True when sending of the request begins.
+    if the request can move from a stalled target to another one now. `on_first_event`
+    is called before the first event is forwarded. `is_sent` turns True when sending of
+    the request begins.
     """
 
     def __init__(
@@ -104,7 +105,9 @@
         pool: ConnectionPool,
         sink: StreamSink,
         may_move: Callable[[Failure], bool],
+        on_first_event: Callable[[], None],
     ) -> None:
+        self._on_first_event = on_first_event
         self._call = call
         self._body = body
         self._load = load
@@ -319,6 +322,7 @@
                 self._load.record_first_event(
                     self._call.head.attempt_id, now_ms=self._clock.now_ms()
                 )
+                self._on_first_event()
             self._event_count += len(new_events)
             await self._sink.send_events(new_events)
         if self._splitter.has_partial_event:
--- a/pistachiohaven/components/gateway/_peers.py
+++ b/pistachiohaven/components/gateway/_peers.py
@@ -12,9 +12,12 @@
     DigestRequest,
     LeavingTargetReport,
     Member,
+    OriginQuery,
+    OriginReply,
     PeerEvents,
     QueueReport,
     RateLimitReport,
+    StreamBegun,
     TargetReport,
     Update,
     decode_datagram,
@@ -53,6 +56,8 @@
         self._used_tokens: dict[int, int] = {}
         self._usage_change_sequences: dict[int, int] = {}
         self._socket = trio.socket.from_stdlib_socket(sock)
+        self._stdlib_socket = sock
+        state.origin_link.connect(self._send_at_once)
 
     async def run(self) -> None:
         """Send and receive datagrams until cancelled."""
@@ -111,6 +116,14 @@
         except OSError as error:
             self._state.log.info("digest_not_sent", peer=address, error=str(error))
 
+    def _send_at_once(self, datagram: bytes, address: str) -> None:
+        """Send a datagram without waiting; it is lost if the buffer is full."""
+        host, _, port = address.rpartition(":")
+        try:
+            self._stdlib_socket.sendto(datagram, (host, int(port)))
+        except OSError as error:
+            self._state.log.info("datagram_not_sent", peer=address, error=str(error))
+
     def _build_digest(self, *, now_ms: int, has_history: bool) -> Digest:
         """Return the full state of this gateway.
 
@@ -278,6 +291,10 @@
     def _(self, message: DigestRequest, address: str) -> None:
         self._state.exchange.schedule_digest(address)
 
+    @_handle.register
+    def _(self, message: StreamBegun | OriginQuery | OriginReply, address: str) -> None:
+        self._state.origin_link.handle(message, address)
+
     @_handle.register
     def _(self, message: Update, address: str) -> None:
         state = self._state
--- a/pistachiohaven/components/gateway/_request.py
+++ b/pistachiohaven/components/gateway/_request.py
@@ -4,6 +4,7 @@
 
 import trio
 
+from pistachiohaven.components.exchange import short_hash
 from pistachiohaven.components.placement import Job, Placement, Refusal
 from pistachiohaven.components.retry import Failure, Resend, resend_after
 from pistachiohaven.const import MS_PER_S
@@ -25,6 +26,7 @@
     DEADLINE_MARGIN_MS,
     MAX_EXTRA_REJECTIONS,
     MIN_RETRY_AFTER_MS,
+    ORIGIN_RETRY_AFTER_MS,
 )
 
 BAD_GATEWAY = 502
@@ -61,6 +63,7 @@
         self._sent_count = 0
         self._is_quota_charged = False
         self._is_resend_budget_consumed = False
+        self._is_origin_recorded = False
         self._target_error: CompleteResponse | None = None
         self.reason: Reason | None = None
         self.version: str | None = None
@@ -95,6 +98,11 @@
 
     async def _run_attempts(self) -> None:
         """Dispatch until there is a response or no further attempt is allowed."""
+        if self._call.is_stream_taken_up and not await self._bind_to_origin():
+            await self._respond_without_target(
+                Reason.VERSION_UNKNOWN, ORIGIN_RETRY_AFTER_MS
+            )
+            return
         while True:
             decision = await self._state.placer.place(self._job)
             if isinstance(decision, Refusal):
@@ -115,6 +123,39 @@
                 await self._respond_to_failure(result)
                 return
 
+    async def _bind_to_origin(self) -> bool:
+        """Bind a stream that is taken up to its version; return False if unknown.
+
+        A stream that began in another pool, whose versions differ, is not bound.
+        """
+        call, state = self._call, self._state
+        origin = await state.origin_link.find(call.head.resumes, pool=call.pool_name)
+        state.log.info(
+            "stream_taken_up",
+            request_id=call.head.attempt_id,
+            resumes=call.head.resumes,
+            resume_after=call.head.last_event_id,
+            version=origin.version if origin else None,
+            source=origin.source if origin else None,
+            waited_ms=state.clock.now_ms() - call.arrived_ms,
+        )
+        if origin is not None and origin.pool == short_hash(call.pool_name):
+            self._job.version = origin.version
+        return origin is not None
+
+    def _record_origin(self, version: str) -> None:
+        """Bind a resumable stream to the version of its first event."""
+        call = self._call
+        if not call.route.is_resumable or self._is_origin_recorded:
+            return
+        self._is_origin_recorded = True
+        self._job.version = version
+        self._state.origin_link.record(
+            call.head.resumes or call.head.attempt_id,
+            pool=call.pool_name,
+            version=version,
+        )
+
     async def _dispatch(
         self, target: str
     ) -> CompleteResponse | CompletedStream | FailedDispatch:
@@ -133,6 +174,7 @@
             pool=self._pool,
             sink=self._response,
             may_move=partial(self._may_move, target),
+            on_first_event=partial(self._record_origin, load.target.version),
         )
         if not self._sent_count:
             budget.record_request(now_ms=state.clock.now_ms())
--- a/pistachiohaven/components/gateway/_state.py
+++ b/pistachiohaven/components/gateway/_state.py
@@ -21,6 +21,7 @@
     LeavingReport,
     TargetNotices,
 )
+from pistachiohaven.components.origin import StreamOrigins
 from pistachiohaven.components.placement import Scheduler, TargetLoad
 from pistachiohaven.components.quota import QuotaLedger, QuotaTolerance
 from pistachiohaven.components.rate_limit import LimitChange, LimitReport, RateLimits
@@ -30,8 +31,10 @@
 from pistachiohaven.helpers import Clock, ComponentLogger, make_uuid7
 
 from ._metrics import GatewayMetrics
+from ._origins import OriginLink
 from ._placer import Placer
 from ._stall import StallMonitor
+from .const import CONFIG_STALE_AFTER_MS
 
 
 class GatewayState:
@@ -78,6 +81,13 @@
             seeds=settings.seed_addresses,
             rng=self.rng,
         )
+        self.origins = StreamOrigins()
+        self.origin_link = OriginLink(
+            origins=self.origins,
+            exchange=self.exchange,
+            clock=clock,
+            is_list_current=self._is_target_list_current,
+        )
         self.last_store_response_ms: int | None = None
         self.complete_until_ms: int | None = None
         self.draining_since_ms: int | None = None
@@ -135,6 +145,16 @@
             return None
         return self.clock.now_ms() - self.complete_until_ms
 
+    def _is_target_list_current(self) -> bool:
+        """Return True if the store responds and no live peer knows newer changes."""
+        age_ms = self.store_response_age_ms()
+        if age_ms is None or age_ms > CONFIG_STALE_AFTER_MS:
+            return False
+        newer_peer = self.exchange.find_newer_peer(
+            self.catalogue.revision, now_ms=self.clock.now_ms()
+        )
+        return newer_peer is None
+
     def retry_budget(self, pool: str) -> WindowBudget:
         """Return the retry budget of `pool`."""
         if pool not in self._retry_budgets:
@@ -290,6 +310,8 @@
 
         Return the number of changes that were applied.
         """
+        if platform.TARGETS_PREFIX.startswith(prefix):
+            self.origins.history.restart(now_ms=self.clock.now_ms())
         keys = {item.key for item in items}
         deletions = self.catalogue.implied_deletions(prefix, keys, revision)
         applied = self.apply_changes(
@@ -347,6 +369,10 @@
         self.route_table = RouteTable(config=config)
         self.quota.configure(config.organisations, now_ms=self.clock.now_ms())
         self.scheduler.configure(config.pools)
+        stream_timeouts_ms = [
+            route.timeout_ms for route in config.routes if route.is_resumable
+        ]
+        self.origins.set_stream_timeout(max(stream_timeouts_ms, default=0))
         self.metrics.config_version.set(config.version)
         self.log.info(
             "config_in_force",
@@ -424,11 +450,19 @@
         self, change: TargetChange, *, source: str, revision: int
     ) -> None:
         """Apply one change of the target list to the scheduler and log it."""
+        now_ms = self.clock.now_ms()
         if change.after is None:
+            self.origins.history.remove(change.name, now_ms=now_ms)
             self.scheduler.drop_target(change.name)
             if change.before is not None:
                 self.removed_addresses.append(change.before.address)
         else:
+            self.origins.history.put(
+                change.name,
+                pool=change.after.pool,
+                version=change.after.version,
+                now_ms=now_ms,
+            )
             self.scheduler.put_target(change.after)
         self.log.info(
             "target_changed",
--- a/pistachiohaven/components/gateway/_store_watch.py
+++ b/pistachiohaven/components/gateway/_store_watch.py
@@ -293,6 +293,8 @@
         is_restored = state.is_restored_at(response.revision)
         if is_restored:
             state.on_store_restored(revision=response.revision, source=peer.member.name)
+        # A peer sends the newest change of each key only.
+        state.origins.history.restart(now_ms=state.clock.now_ms())
         before = state.catalogue.revision
         applied = state.apply_changes(
             changes,
--- a/pistachiohaven/components/gateway/const.py
+++ b/pistachiohaven/components/gateway/const.py
@@ -122,6 +122,25 @@
 A new version must be active within this time after the store has confirmed it.
 """
 
+ORIGIN_COPIES: Final = 4
+"""Peers that are told at which version a stream began."""
+
+MAX_PEERS_ASKED_ALL: Final = 32
+"""Number of peers up to which all of them are asked for the origin of a stream."""
+
+MAX_ASKED_PEERS: Final = 8
+"""Peers that are asked if there are more; their order is that of the copies."""
+
+ORIGIN_REPLY_TIMEOUT_MS: Final = 150
+ORIGIN_QUERIES: Final = 2
+"""Times that a peer is asked, and how long its reply is waited for."""
+
+ORIGIN_RETRY_AFTER_MS: Final = 500
+"""Retry time sent to callers if no gateway knows the origin of their stream.
+
+A gateway that knows it may start to reply, and a version may be the only one later.
+"""
+
 MAX_REFUSED_BODY_BYTES: Final = 262_144
 """Bytes of a body that are read before its request is refused on arrival.
 
--- a/pistachiohaven/components/placement/_job.py
+++ b/pistachiohaven/components/placement/_job.py
@@ -14,7 +14,7 @@
     of the other parts. The first byte should be sent by `first_byte_due_ms`; without
     one, the caller disconnects at `wait_limit_ms`. If `has_response_started`, the
     request may wait until `deadline_ms`. Targets named in `excluded_targets` are not
-    used.
+    used. If `version` is not None, only targets of this software version are.
     """
 
     request_id: str
@@ -31,6 +31,7 @@
     deadline_ms: int
     has_response_started: bool = False
     excluded_targets: set[str] = field(default_factory=set)
+    version: str | None = None
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
--- a/pistachiohaven/components/placement/_scheduler.py
+++ b/pistachiohaven/components/placement/_scheduler.py
@@ -147,13 +147,12 @@
     def submit(self, job: Job, *, now_ms: int) -> Refusal | None:
         """Add `job` to its queue, or return a refusal if it could not start in time.
 
-        A job whose response has started is always queued.
+        A job whose response has started is always queued unless no target of its
+        version is left.
         """
-        refusal = (
-            None
-            if job.has_response_started
-            else self._check_on_arrival(job, now_ms=now_ms)
-        )
+        refusal = self._check_version(job, now_ms=now_ms)
+        if refusal is None and not job.has_response_started:
+            refusal = self._check_on_arrival(job, now_ms=now_ms)
         if refusal is None:
             self._waiting.setdefault(job.pool, []).append(job)
         else:
@@ -180,7 +179,7 @@
         excluded_names = job.excluded_targets | {target}
         return any(
             load.is_usable(now_ms=now_ms) and load.target.name not in excluded_names
-            for load in self._pool_loads(job.pool)
+            for load in self._job_loads(job)
         )
 
     def expected_wait_ms(self, job: Job, *, now_ms: int) -> float:
@@ -191,10 +190,12 @@
         A job that may use reserved slots waits at most for these. If all targets are
         paused, both begin with the end of the first pause.
         """
-        loads = self._usable_loads(job.pool, now_ms=now_ms)
+        loads = self._usable_loads(job, now_ms=now_ms)
         if any(load.has_free_slot(now_ms=now_ms) for load in loads):
             return 0.0
         wait_ms = self._expected_shared_wait_ms(job, loads, now_ms=now_ms)
+        if not loads:
+            return wait_ms
         reserved_wait_ms = self._reserved_slots.expected_wait_ms(
             job, self._waiting.get(job.pool, ()), loads, now_ms=now_ms
         )
@@ -207,28 +208,43 @@
     def _expected_shared_wait_ms(
         self, job: Job, loads: list[TargetLoad], *, now_ms: int
     ) -> float:
-        """Return the expected wait in ms for a slot that is not reserved."""
-        starts_per_ms = sum(load.starts_per_ms for load in loads)
-        requests_ahead = sum(
-            1 for other in self._waiting.get(job.pool, ()) if other.rank <= job.rank
-        )
+        """Return the expected wait in ms for a slot that is not reserved.
+
+        `loads` are the targets that `job` may use. The requests ahead of it use all
+        targets of the pool, except those bound to the same version.
+        """
+        starts_per_ms = _starts_per_ms(loads)
+        jobs_ahead = [
+            other for other in self._waiting.get(job.pool, ()) if other.rank <= job.rank
+        ]
+        bound_ahead = 0
+        if job.version is not None:
+            bound_ahead = sum(other.version == job.version for other in jobs_ahead)
+        requests_ahead = len(jobs_ahead) - bound_ahead
         requests_ahead += self._peer_queues.requests_before(
             job.pool, job.rank + 1, now_ms=now_ms
         )
         more_urgent_share = min(
             self._more_urgent_share(job.pool, job.rank), MAX_URGENT_SHARE
         )
+        pool_starts_per_ms = starts_per_ms
+        if job.version is not None:
+            pool_starts_per_ms = _starts_per_ms(
+                [
+                    load
+                    for load in self._pool_loads(job.pool)
+                    if load.is_usable(now_ms=now_ms)
+                ]
+            )
         return (
-            (requests_ahead + 1)
-            / max(starts_per_ms, MIN_STARTS_PER_MS)
-            / (1.0 - more_urgent_share)
-        )
+            requests_ahead / pool_starts_per_ms + (bound_ahead + 1) / starts_per_ms
+        ) / (1.0 - more_urgent_share)
 
     # Scheduling
 
     def _check_on_arrival(self, job: Job, *, now_ms: int) -> Refusal | None:
         """Return a refusal if `job` can use no target or would wait for too long."""
-        usable = self._usable_loads(job.pool, now_ms=now_ms)
+        usable = self._usable_loads(job, now_ms=now_ms)
         if all(load.target.name in job.excluded_targets for load in usable):
             return self._make_refusal(job, Reason.NO_TARGET, now_ms=now_ms)
         wait_ms = self.expected_wait_ms(job, now_ms=now_ms)
@@ -238,13 +254,24 @@
             return self._make_refusal(job, Reason.OVERLOAD, now_ms=now_ms)
         return None
 
+    def _check_version(self, job: Job, *, now_ms: int) -> Refusal | None:
+        """Return a refusal if no target of the version of `job` is left.
+
+        Targets that are excluded or full may become usable again.
+        """
+        if job.version is None or any(
+            not load.is_leaving for load in self._job_loads(job)
+        ):
+            return None
+        return self._make_refusal(job, Reason.VERSION_GONE, now_ms=now_ms)
+
     def _schedule_pool(self, jobs: list[Job], *, now_ms: int) -> list[Decision]:
         """Decide about the jobs of one pool in their scheduling order.
 
         Free slots are left to more urgent requests that wait at peers, except to jobs
         with reserved slots. A job that stays in the queue keeps the slots from those
-        behind it, unless it has excluded targets: the free slots may be at those.
-        Blocked jobs may still be refused.
+        behind it, unless it has excluded targets or is bound to a version: the free
+        slots may be at other targets. Blocked jobs may still be refused.
         """
         decisions: list[Decision] = []
         speed = measure_speed(self._pool_loads(jobs[0].pool))
@@ -257,6 +284,12 @@
         first_jobs = set(reserved_jobs)
         other_jobs = [job for job in jobs if job not in first_jobs]
         for job in reserved_jobs + other_jobs:
+            version_refusal = self._check_version(job, now_ms=now_ms)
+            if version_refusal is not None:
+                decisions.append(version_refusal)
+                jobs.remove(job)
+                self._record_end(job, is_served=False, now_ms=now_ms)
+                continue
             has_reserved_slot = job in first_jobs
             is_blocked = is_blocked or (
                 not has_reserved_slot
@@ -277,7 +310,9 @@
                 jobs.remove(job)
                 self._record_end(job, is_served=False, now_ms=now_ms)
             elif not has_reserved_slot:
-                is_blocked = is_blocked or not job.excluded_targets
+                is_blocked = is_blocked or not (
+                    job.excluded_targets or job.version is not None
+                )
         return decisions
 
     def _record_end(self, job: Job, *, is_served: bool, now_ms: int) -> None:
@@ -290,7 +325,7 @@
         """Return the target with a free slot where `job` is expected to end first."""
         loads = [
             load
-            for load in self._pool_loads(job.pool)
+            for load in self._job_loads(job)
             if load.target.name not in job.excluded_targets
             and self._may_use_slot(load, job, now_ms=now_ms)
         ]
@@ -368,7 +403,7 @@
         needs some time after the placement.
         """
         max_wait_ms = job.wait_limit_ms - job.arrived_ms
-        loads = self._usable_loads(job.pool, now_ms=now_ms)
+        loads = self._usable_loads(job, now_ms=now_ms)
         first_byte_ms = min(
             (load.expected_first_event_ms(job, now_ms=now_ms) for load in loads),
             default=0.0,
@@ -414,10 +449,22 @@
     def _pool_loads(self, pool: str) -> list[TargetLoad]:
         return [load for load in self._loads.values() if load.target.pool == pool]
 
-    def _usable_loads(self, pool: str, *, now_ms: int) -> list[TargetLoad]:
-        """Return the usable targets of `pool`; if there are none, the unusable ones.
+    def _job_loads(self, job: Job) -> list[TargetLoad]:
+        """Return the loads of the targets that run the version of `job`."""
+        loads = self._pool_loads(job.pool)
+        if job.version is None:
+            return loads
+        return [load for load in loads if load.target.version == job.version]
+
+    def _usable_loads(self, job: Job, *, now_ms: int) -> list[TargetLoad]:
+        """Return the usable targets for `job`; if there are none, the unusable ones.
 
         These are excluded or paused. Targets that are leaving are never returned.
         """
-        loads = [load for load in self._pool_loads(pool) if not load.is_leaving]
+        loads = [load for load in self._job_loads(job) if not load.is_leaving]
         return [load for load in loads if load.is_usable(now_ms=now_ms)] or loads
+
+
+def _starts_per_ms(loads: list[TargetLoad]) -> float:
+    """Return the rate at which requests can start at targets, per millisecond."""
+    return max(sum(load.starts_per_ms for load in loads), MIN_STARTS_PER_MS)
--- a/pistachiohaven/core.py
+++ b/pistachiohaven/core.py
@@ -160,6 +160,12 @@
     STREAM_BROKEN = "stream_broken"
     """The response ended early, after a part of it was sent to the caller."""
 
+    VERSION_GONE = "version_gone"
+    """No target of the software version that began the stream is left."""
+
+    VERSION_UNKNOWN = "version_unknown"
+    """Several software versions may have begun the stream that is taken up."""
+
     INTERNAL = "internal"
 
 
--- a/pistachiohaven/helpers/_ttl.py
+++ b/pistachiohaven/helpers/_ttl.py
@@ -28,6 +28,10 @@
         self._entries[key] = (now_ms, value)
         self._entries.move_to_end(key)
 
+    def set_retention(self, retention_ms: int) -> None:
+        """Set the retention, also of the values that are stored already."""
+        self._retention_ms = retention_ms
+
     def get(self, key: str) -> ValueT | None:
         """Return the value of `key`, or None if it is not stored."""
         entry = self._entries.get(key)
--- /dev/null
+++ b/tests/components/gateway/test_origins.py
@@ -0,0 +1,252 @@
+"""Test the exchange of streams' origins between gateways, in virtual time."""
+
+import random
+from collections.abc import Awaitable, Callable
+
+import trio
+import trio.testing
+
+from pistachiohaven.components.exchange import (
+    Datagram,
+    Digest,
+    Exchange,
+    Member,
+    OriginQuery,
+    StreamBegun,
+    decode_datagram,
+)
+from pistachiohaven.components.gateway._origins import OriginLink
+from pistachiohaven.components.gateway.const import (
+    MAX_ASKED_PEERS,
+    ORIGIN_COPIES,
+    ORIGIN_QUERIES,
+    ORIGIN_REPLY_TIMEOUT_MS,
+)
+from pistachiohaven.components.origin import StreamOrigins
+from pistachiohaven.helpers import Clock
+
+LONG_AGO_S = 1_000.0
+
+
+class Node:
+    """Origins and link of one gateway."""
+
+    def __init__(self, network: "Network", address: str) -> None:
+        self.address = address
+        self.is_list_current = True
+        self.is_up = True
+        self.clock = Clock(monotonic_s=trio.current_time, wall_s=trio.current_time)
+        self.origins = StreamOrigins()
+        self.exchange = Exchange(
+            self_address=address,
+            seeds=tuple(each for each in network.addresses if each != address),
+            rng=random.Random(1),
+        )
+        self.link = OriginLink(
+            origins=self.origins,
+            exchange=self.exchange,
+            clock=self.clock,
+            is_list_current=lambda: self.is_list_current,
+        )
+        self.link.connect(lambda data, to: network.send(address, data, to))
+
+    def list_targets(self, *versions: str) -> None:
+        """Record a full list of targets, as read from the store now."""
+        now_ms = self.clock.now_ms()
+        self.origins.history.restart(now_ms=now_ms)
+        for number, version in enumerate(versions):
+            self.origins.history.put(
+                f"i-{number}", pool="p", version=version, now_ms=now_ms
+            )
+
+    def hear_from(self, address: str, *, now_ms: int) -> None:
+        """Receive a digest of the gateway at `address`."""
+        digest = Digest(
+            sender=Member(name="", address=address),
+            control_address="",
+            incarnation=address,
+            sequence=now_ms,
+            uptime_ms=0,
+            leaving=False,
+            revision=0,
+            members=(),
+            running=(),
+            waiting=(),
+            used_tokens={},
+        )
+        self.exchange.handle_digest(digest, now_ms=now_ms)
+
+
+class Network:
+    """Gateways whose datagrams arrive at once; the first `lost` of them do not."""
+
+    def __init__(self, count: int) -> None:
+        self.addresses = [f"10.0.0.{number}:3" for number in range(count)]
+        self.nodes = {address: Node(self, address) for address in self.addresses}
+        self.sent: list[tuple[Datagram, str]] = []
+        self.lost = 0
+
+    def send(self, sender: str, data: bytes, address: str) -> None:
+        message = decode_datagram(data).unwrap()
+        self.sent.append((message, address))
+        receiver = self.nodes[address]
+        if self.lost:
+            self.lost -= 1
+        elif receiver.is_up:
+            receiver.link.handle(message, sender)
+
+
+def run(test: Callable[[Network], Awaitable[None]], *, count: int = 3) -> None:
+    async def run_test() -> None:
+        await test(Network(count))
+
+    trio.run(run_test, clock=trio.testing.MockClock(autojump_threshold=0))
+
+
+async def find(node: Node, attempt_id: str = "77aa") -> str | None:
+    origin = await node.link.find(attempt_id, pool="p")
+    return None if origin is None else origin.version
+
+
+def test_gateway_that_knows_only_one_version_asks_nobody() -> None:
+    async def test(network: Network) -> None:
+        node = network.nodes[network.addresses[0]]
+        node.list_targets("v1", "v1")
+        await trio.sleep(LONG_AGO_S)
+        assert await find(node) == "v1"
+        assert network.sent == []
+
+    run(test)
+
+
+def test_gateway_whose_list_may_be_stale_asks() -> None:
+    """A version that it does not know may have begun the stream at another one."""
+
+    async def test(network: Network) -> None:
+        node, peer, _ = network.nodes.values()
+        node.list_targets("v1")
+        await trio.sleep(LONG_AGO_S)
+        node.is_list_current = False
+        peer.link.record("77aa", pool="p", version="v1.1")
+        assert await find(node) == "v1.1"
+
+    run(test)
+
+
+def test_origin_is_told_to_a_few_peers_and_found_at_the_others() -> None:
+    async def test(network: Network) -> None:
+        first, *others = network.nodes.values()
+        for node in network.nodes.values():
+            node.list_targets("v1", "v1.1")
+        first.link.record("77aa", pool="p", version="v1")
+        told = [to for message, to in network.sent if isinstance(message, StreamBegun)]
+        assert len(told) == ORIGIN_COPIES
+        first.is_up = False
+        assert [await find(node) for node in others] == ["v1"] * len(others)
+
+    run(test, count=10)
+
+
+def test_lost_query_is_sent_again() -> None:
+    async def test(network: Network) -> None:
+        node, peer = network.nodes.values()
+        peer.link.record("77aa", pool="p", version="v1")
+        node.origins = StreamOrigins()
+        node.link._origins = node.origins
+        network.lost = 1
+        started_s = trio.current_time()
+        assert await find(node) == "v1"
+        assert round((trio.current_time() - started_s) * 1_000) == (
+            ORIGIN_REPLY_TIMEOUT_MS
+        )
+
+    run(test, count=2)
+
+
+def test_origin_that_no_peer_knows_is_unknown_at_once() -> None:
+    async def test(network: Network) -> None:
+        for node in network.nodes.values():
+            node.list_targets("v1")
+        started_s = trio.current_time()
+        assert await find(network.nodes[network.addresses[0]]) is None
+        assert trio.current_time() == started_s
+
+    run(test)
+
+
+def test_peers_that_do_not_reply_are_not_waited_for_long() -> None:
+    async def test(network: Network) -> None:
+        node, *others = network.nodes.values()
+        for other in others:
+            other.is_up = False
+        started_s = trio.current_time()
+        assert await find(node) is None
+        waited_ms = (trio.current_time() - started_s) * 1_000
+        assert round(waited_ms) == ORIGIN_QUERIES * ORIGIN_REPLY_TIMEOUT_MS
+
+    run(test)
+
+
+def test_starting_gateway_learns_from_a_peer_that_one_version_served() -> None:
+    async def test(network: Network) -> None:
+        node, peer = network.nodes.values()
+        peer.list_targets("v1")
+        await trio.sleep(LONG_AGO_S)
+        node.list_targets("v1")
+        assert await find(node) == "v1"
+
+    run(test, count=2)
+
+
+def test_peer_that_lacks_a_listed_version_is_not_believed() -> None:
+    async def test(network: Network) -> None:
+        node, peer = network.nodes.values()
+        peer.list_targets("v1")
+        await trio.sleep(LONG_AGO_S)
+        node.list_targets("v1", "v1.1")
+        assert await find(node) is None
+
+    run(test, count=2)
+
+
+def test_caller_that_names_no_attempt_is_bound_to_a_sole_version_only() -> None:
+    async def test(network: Network) -> None:
+        node, _ = network.nodes.values()
+        node.list_targets("v1")
+        await trio.sleep(LONG_AGO_S)
+        assert (await node.link.find(None, pool="p")) is not None
+        node.list_targets("v1", "v1.1")
+        assert (await node.link.find(None, pool="p")) is None
+
+    run(test, count=2)
+
+
+def test_few_of_many_peers_are_asked_and_those_know() -> None:
+    async def test(network: Network) -> None:
+        first, second, *_ = network.nodes.values()
+        for number in range(20):
+            first.link.record(f"{number:016x}", pool="p", version="v1")
+        first.is_up = False
+        for number in range(20):
+            network.sent.clear()
+            assert await find(second, f"{number:016x}") == "v1"
+            asked = [m for m, _ in network.sent if isinstance(m, OriginQuery)]
+            assert len(asked) <= ORIGIN_QUERIES * MAX_ASKED_PEERS
+
+    run(test, count=100)
+
+
+def test_copies_go_to_peers_that_were_heard_of_lately() -> None:
+    async def test(network: Network) -> None:
+        node, *others = network.nodes.values()
+        for other in others:
+            node.hear_from(other.address, now_ms=node.clock.now_ms())
+        await trio.sleep(60)
+        live = others[: ORIGIN_COPIES - 1]
+        for other in live:
+            node.hear_from(other.address, now_ms=node.clock.now_ms())
+        node.link.record("77aa", pool="p", version="v1")
+        told = {to for _, to in network.sent}
+        assert {other.address for other in live} < told
+
+    run(test, count=12)
--- /dev/null
+++ b/tests/components/origin/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of the origins of streams."""
--- a/tests/test_layout.py
+++ b/tests/test_layout.py
@@ -14,6 +14,7 @@
     "lifecycle",
     "membership",
     "notice",
+    "origin",
     "peer",
     "retry",
     "routing",
