Meter the streams of the simulated targets

The simulation of streams from several versions had no metered streams, which the gateway's client now requires; no stream began there.

--- a/tests/components/gateway/version_simulation.py
+++ b/tests/components/gateway/version_simulation.py
@@ -27,6 +27,7 @@
 )
 from pistachiohaven.components.gateway._response import ResponseWriter
 from pistachiohaven.components.gateway._state import GatewayState
+from pistachiohaven.components.web._metered import MeteredStream
 from pistachiohaven.config import GatewaySettings
 from pistachiohaven.helpers import Clock
 
@@ -176,9 +177,8 @@
             return Err("ConnectError")
         host, _, port = address.rpartition(":")
         origin = httpcore.Origin(b"http", host.encode(), int(port))
-        http = httpcore.AsyncHTTP11Connection(
-            origin=origin, stream=TargetStream(self._entry, target)
-        )
+        stream = MeteredStream(TargetStream(self._entry, target))
+        http = httpcore.AsyncHTTP11Connection(origin=origin, stream=stream)
         return Ok(Connection(http=http, address=address, is_new=True))
 
 
