Wait for peers that a starting gateway does not know yet

A gateway that had just started asked only its seeds for the version of a stream, and refused it once these had replied. The records are kept for at least 30 s rather than 60, and so is the history that proves a sole version. test_starting_gateway_also_asks_peers_that_it_learns_of_meanwhile fails without the change.

--- a/pistachiohaven/components/exchange/_core.py
+++ b/pistachiohaven/components/exchange/_core.py
@@ -234,6 +234,13 @@
         """Record bytes that are sent between the rounds."""
         self._extra_bytes += size_bytes
 
+    def is_starting(self, *, now_ms: int) -> bool:
+        """Return True shortly after the first round; some peers are not known yet."""
+        return (
+            self._first_round_ms is None
+            or now_ms - self._first_round_ms < START_PHASE_MS
+        )
+
     def peers_in_order(self, key: str, *, now_ms: int) -> list[str]:
         """Return the addresses of the other entries in rendezvous order of `key`.
 
@@ -284,11 +291,11 @@
         """
         if peer.is_live(now_ms=now_ms) or peer.last_sent_ms is None:
             return True
-        is_starting = (
-            self._first_round_ms is None
-            or now_ms - self._first_round_ms < START_PHASE_MS
+        interval_ms = (
+            START_PEER_INTERVAL_MS
+            if self.is_starting(now_ms=now_ms)
+            else STALE_PEER_INTERVAL_MS
         )
-        interval_ms = START_PEER_INTERVAL_MS if is_starting else STALE_PEER_INTERVAL_MS
         return now_ms - peer.last_sent_ms >= interval_ms
 
     def _add_peer(self, member: Member, *, now_ms: int) -> None:
--- a/pistachiohaven/components/gateway/_origins.py
+++ b/pistachiohaven/components/gateway/_origins.py
@@ -2,7 +2,7 @@
 
 from collections import defaultdict
 from collections.abc import Callable
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 from functools import singledispatchmethod
 
 import trio
@@ -34,12 +34,16 @@
 
 @dataclass(slots=True, kw_only=True, eq=False)
 class _Inquiry:
-    """Inquiry of a stream's origin; `unanswered` are the addresses of asked peers."""
+    """Inquiry of the origin of a stream in `pool`.
+
+    `answered` and `unanswered` are the addresses of the peers that were asked.
+    """
 
     pool: str
-    unanswered: set[str]
+    unanswered: set[str] = field(default_factory=set)
+    answered: set[str] = field(default_factory=set)
     origin: StreamOrigin | None = None
-    has_changed: trio.Event
+    has_changed: trio.Event = field(default_factory=trio.Event)
 
 
 class OriginLink:
@@ -101,23 +105,28 @@
     async def _ask_peers(self, attempt_id: str, pool: str) -> StreamOrigin | None:
         """Ask peers for the origin of a stream; wait until one knows it or all reply.
 
-        Those that have not replied are asked again, since datagrams may be lost.
+        Those that have not replied are asked again, since datagrams may be lost. In the
+        start phase, this gateway also waits for peers that it does not know yet.
         """
-        peers = self._exchange.peers_in_order(attempt_id, now_ms=self._clock.now_ms())
-        if len(peers) > MAX_PEERS_ASKED_ALL:
-            peers = peers[:MAX_ASKED_PEERS]
         stream = stream_key(attempt_id)
         query = OriginQuery(stream=stream, pool=short_hash(pool))
-        inquiry = _Inquiry(pool=pool, unanswered=set(peers), has_changed=trio.Event())
+        inquiry = _Inquiry(pool=pool)
         self._inquiries[stream].append(inquiry)
         try:
             for _ in range(ORIGIN_QUERIES):
+                peers = self._select_peers(attempt_id)
+                inquiry.unanswered = set(peers) - inquiry.answered
                 self._send_to(query, sorted(inquiry.unanswered))
+                is_starting = self._exchange.is_starting(now_ms=self._clock.now_ms())
                 with trio.move_on_after(ORIGIN_REPLY_TIMEOUT_MS / MS_PER_S):
-                    while inquiry.origin is None and inquiry.unanswered:
+                    while inquiry.origin is None and (
+                        inquiry.unanswered or is_starting
+                    ):
                         await inquiry.has_changed.wait()
                         inquiry.has_changed = trio.Event()
-                if inquiry.origin is not None or not inquiry.unanswered:
+                if inquiry.origin is not None or not (
+                    inquiry.unanswered or is_starting
+                ):
                     break
         finally:
             self._inquiries[stream].remove(inquiry)
@@ -125,6 +134,11 @@
                 del self._inquiries[stream]
         return inquiry.origin
 
+    def _select_peers(self, attempt_id: str) -> list[str]:
+        """Return the peers that are asked for the origin of a stream."""
+        peers = self._exchange.peers_in_order(attempt_id, now_ms=self._clock.now_ms())
+        return peers if len(peers) <= MAX_PEERS_ASKED_ALL else peers[:MAX_ASKED_PEERS]
+
     def _sole_version(self, pool: str, *, now_ms: int) -> str | None:
         """Return the only version at which a stream can have begun, None if unknown."""
         if not self._is_list_current():
@@ -177,6 +191,7 @@
             if address not in inquiry.unanswered:
                 continue
             inquiry.unanswered.discard(address)
+            inquiry.answered.add(address)
             if message.is_sole and message.version is not None:
                 listed = self._origins.history.listed_versions(inquiry.pool)
                 if listed <= {message.version}:
--- a/pistachiohaven/components/origin/_core.py
+++ b/pistachiohaven/components/origin/_core.py
@@ -7,7 +7,7 @@
 from ._history import VersionHistory
 from .const import (
     ATTEMPT_TIME_FACTOR,
-    DEFAULT_STREAM_TIMEOUT_MS,
+    MIN_STREAM_TIMEOUT_MS,
     SERVING_MARGIN_MS,
 )
 
@@ -34,7 +34,7 @@
 
     def __init__(self) -> None:
         self.history = VersionHistory()
-        self._retention_ms = ATTEMPT_TIME_FACTOR * DEFAULT_STREAM_TIMEOUT_MS
+        self._retention_ms = ATTEMPT_TIME_FACTOR * MIN_STREAM_TIMEOUT_MS
         self._origins = TtlMap[StreamOrigin](retention_ms=self._retention_ms)
 
     def __len__(self) -> int:
--- a/pistachiohaven/components/origin/const.py
+++ b/pistachiohaven/components/origin/const.py
@@ -2,8 +2,11 @@
 
 from typing import Final
 
-DEFAULT_STREAM_TIMEOUT_MS: Final = 30_000
-"""Longest time of one attempt at a stream until a configuration has been read."""
+MIN_STREAM_TIMEOUT_MS: Final = 15_000
+"""Shortest value of the longest time of one attempt.
+
+A configuration that this entry has not read may have allowed more than the current one.
+"""
 
 ATTEMPT_TIME_FACTOR: Final = 2
 """Longest time from the start of a stream to its last resumption, in such timeouts."""
--- a/tests/components/gateway/test_origins.py
+++ b/tests/components/gateway/test_origins.py
@@ -15,6 +15,7 @@
     StreamBegun,
     decode_datagram,
 )
+from pistachiohaven.components.exchange.const import START_PHASE_MS
 from pistachiohaven.components.gateway._origins import OriginLink
 from pistachiohaven.components.gateway.const import (
     MAX_ASKED_PEERS,
@@ -31,7 +32,14 @@
 class Node:
     """Origins and link of one gateway."""
 
-    def __init__(self, network: "Network", address: str) -> None:
+    def __init__(
+        self,
+        network: "Network",
+        address: str,
+        *,
+        seeds: tuple[str, ...] | None = None,
+        is_starting: bool = False,
+    ) -> None:
         self.address = address
         self.is_list_current = True
         self.is_up = True
@@ -39,7 +47,7 @@
         self.origins = StreamOrigins()
         self.exchange = Exchange(
             self_address=address,
-            seeds=tuple(each for each in network.addresses if each != address),
+            seeds=seeds or tuple(each for each in network.addresses if each != address),
             rng=random.Random(1),
         )
         self.link = OriginLink(
@@ -48,6 +56,8 @@
             clock=self.clock,
             is_list_current=lambda: self.is_list_current,
         )
+        if not is_starting:
+            self.exchange.select_recipients(now_ms=self.clock.now_ms())
         self.link.connect(lambda data, to: network.send(address, data, to))
 
     def list_targets(self, *versions: str) -> None:
@@ -98,7 +108,9 @@
 
 def run(test: Callable[[Network], Awaitable[None]], *, count: int = 3) -> None:
     async def run_test() -> None:
-        await test(Network(count))
+        network = Network(count)
+        await trio.sleep(START_PHASE_MS / 1_000)
+        await test(network)
 
     trio.run(run_test, clock=trio.testing.MockClock(autojump_threshold=0))
 
@@ -174,6 +186,28 @@
     run(test)
 
 
+def test_starting_gateway_also_asks_peers_that_it_learns_of_meanwhile() -> None:
+    """Shortly after its start, a gateway may know its seeds only."""
+
+    async def test(network: Network) -> None:
+        first, second, _ = network.nodes.values()
+        first.link.record("77aa", pool="p", version="v1")
+        starting = Node(
+            network, "10.0.0.9:3", seeds=(second.address,), is_starting=True
+        )
+        network.nodes[starting.address] = starting
+        second.origins = second.link._origins = StreamOrigins()
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(_hear_later, starting, first.address)
+            assert await find(starting) == "v1"
+
+    async def _hear_later(node: Node, address: str) -> None:
+        await trio.sleep(0.05)
+        node.hear_from(address, now_ms=node.clock.now_ms())
+
+    run(test)
+
+
 def test_peers_that_do_not_reply_are_not_waited_for_long() -> None:
     async def test(network: Network) -> None:
         node, *others = network.nodes.values()
