--- a/pistachiohaven/components/exchange/_core.py
+++ b/pistachiohaven/components/exchange/_core.py
@@ -244,20 +244,23 @@
     def peers_in_order(self, key: str, *, now_ms: int) -> list[str]:
         """Return the addresses of the other entries in rendezvous order of `key`.
 
-        Peers that are overdue come last; those that were never heard of may be starting
-        and do not count as overdue.
+        Peers that are overdue or leaving come last; those that were never heard of may
+        be starting and do not count as overdue.
         """
         overdue_ms = max(
             PEER_LIVE_MS, OVERDUE_CYCLES * self.rounds_per_cycle() * INTERVAL_MS
         )
-        overdue_addresses = {
+        last_addresses = {
             address
             for address, peer in self._peers.items()
-            if peer.last_received_ms is not None
-            and now_ms - peer.last_received_ms >= overdue_ms
+            if peer.leaving
+            or (
+                peer.last_received_ms is not None
+                and now_ms - peer.last_received_ms >= overdue_ms
+            )
         }
         order = rendezvous_order(key, self._peers)
-        return sorted(order, key=lambda address: address in overdue_addresses)
+        return sorted(order, key=lambda address: address in last_addresses)
 
     def find_newer_peer(self, revision: int, *, now_ms: int) -> Peer | None:
         """Return the live peer with the newest revision after `revision`, if any."""
--- a/tests/components/gateway/test_origins.py
+++ b/tests/components/gateway/test_origins.py
@@ -69,7 +69,7 @@
                 f"i-{number}", pool="p", version=version, now_ms=now_ms
             )
 
-    def hear_from(self, address: str, *, now_ms: int) -> None:
+    def hear_from(self, address: str, *, now_ms: int, is_leaving: bool = False) -> None:
         """Receive a digest of the gateway at `address`."""
         digest = Digest(
             sender=Member(name="", address=address),
@@ -77,7 +77,7 @@
             incarnation=address,
             sequence=now_ms,
             uptime_ms=0,
-            leaving=False,
+            leaving=is_leaving,
             revision=0,
             members=(),
             running=(),
@@ -284,3 +284,19 @@
         assert {other.address for other in live} < told
 
     run(test, count=12)
+
+
+def test_copies_go_to_peers_that_are_not_leaving() -> None:
+    async def test(network: Network) -> None:
+        node, *others = network.nodes.values()
+        for number, other in enumerate(others):
+            node.hear_from(
+                other.address,
+                now_ms=node.clock.now_ms(),
+                is_leaving=number >= ORIGIN_COPIES,
+            )
+        node.link.record("77aa", pool="p", version="v1")
+        staying = {other.address for other in others[:ORIGIN_COPIES]}
+        assert {to for _, to in network.sent} == staying
+
+    run(test, count=12)
