--- a/pistachiohaven/components/gateway/_request.py
+++ b/pistachiohaven/components/gateway/_request.py
@@ -164,6 +164,8 @@
         load = state.scheduler.load(target)
         if load is None:
             return FailedDispatch(failure=Failure.NOT_SENT, detail="target gone")
+        if self._job.version not in (None, load.target.version):
+            return FailedDispatch(failure=Failure.NOT_SENT, detail="version changed")
         budget = state.retry_budget(self._call.pool_name)
         self.version = load.target.version
         dispatch = Dispatch(
--- a/tests/components/gateway/test_histories.py
+++ b/tests/components/gateway/test_histories.py
@@ -22,12 +22,14 @@
 from pistachiohaven.components.fleet import StoreRecord
 from pistachiohaven.components.gateway._call import Call, parse_call
 from pistachiohaven.components.gateway._connections import Connection, ConnectionPool
+from pistachiohaven.components.gateway._dispatch import FailedDispatch
 from pistachiohaven.components.gateway._request import (
     IncompleteResponseError,
     RequestHandler,
 )
 from pistachiohaven.components.gateway._response import ResponseWriter
 from pistachiohaven.components.gateway._state import GatewayState
+from pistachiohaven.components.retry import Failure
 from pistachiohaven.config import GatewaySettings
 from pistachiohaven.helpers import Clock
 
@@ -412,6 +414,35 @@
     )
 
 
+async def dispatch_to_restarted_target() -> None:
+    clock = Clock(monotonic_s=trio.current_time, wall_s=trio.current_time)
+    state = make_state(clock)
+    handler = RequestHandler(
+        state=state,
+        pool=BlockingPool(clock=clock),
+        call=make_call(state, "stream-again", 1, clock.now_ms()),
+        body=b"{}",
+        response=ResponseWriter(
+            send=RecordedResponse().send, clock=clock, is_closing=False
+        ),
+    )
+    handler._job.version = "v1"
+    with trio.fail_after(1):
+        result = await handler._dispatch("i-0")
+    assert isinstance(result, FailedDispatch)
+    assert result.failure is Failure.NOT_SENT
+
+
+def test_target_that_restarts_with_another_version_after_placement_is_not_used() -> (
+    None
+):
+    """The list may change between the placement of a stream and its dispatch."""
+    trio.run(
+        dispatch_to_restarted_target,
+        clock=trio.testing.MockClock(autojump_threshold=0),
+    )
+
+
 if __name__ == "__main__":
     for outcome, occurrences in sorted(
         run_in_batches(int(sys.argv[1]), int(sys.argv[2])).items()
