Take up streams whose callers name no attempt if one version is known

Such a stream now goes on if the gateway has seen one version only, and is refused beside several. A caller that names its attempt is treated as before. Test: test_caller_that_names_no_attempt_goes_on_at_the_only_version_seen.

The test of a decoded target now includes the version, which is part of the incarnation since streams keep to their version: it asserts the whole incarnation as before, and the version besides.

--- a/pistachiohaven/components/gateway/_origins.py
+++ b/pistachiohaven/components/gateway/_origins.py
@@ -88,19 +88,22 @@
         """Return the origin of a stream that is taken up in `pool`, None if unknown.
 
         Peers are asked unless this gateway knows it, or that no other version has
-        served. `attempt_id` is None if the caller names none.
+        served. `attempt_id` is None if the caller names none; no record can be found
+        then, so the stream goes on if only one version is known to have served.
         """
         now_ms = self._clock.now_ms()
-        if attempt_id is not None:
+        if attempt_id is None:
+            version = self._origins.sole_observed_version(pool, now_ms=now_ms)
+        else:
             known = self._origins.find(stream_key(attempt_id), now_ms=now_ms)
             if known is not None:
                 return known
-        version = self._sole_version(pool, now_ms=now_ms)
+            version = self._sole_version(pool, now_ms=now_ms)
         if version is not None:
             return StreamOrigin(
                 pool=short_hash(pool), version=version, source=SOURCE_HISTORY
             )
-        return await self._ask_peers(attempt_id or "", pool)
+        return None if attempt_id is None else await self._ask_peers(attempt_id, pool)
 
     async def _ask_peers(self, attempt_id: str, pool: str) -> StreamOrigin | None:
         """Ask peers for the origin of a stream; wait until one knows it or all reply.
--- a/pistachiohaven/components/origin/_core.py
+++ b/pistachiohaven/components/origin/_core.py
@@ -71,8 +71,21 @@
 
         The history proves it if no other version served for as long as a stream lasts.
         """
-        since_ms = now_ms - self._retention_ms - SERVING_MARGIN_MS
-        return self.history.sole_version(pool, since_ms=since_ms)
+        return self.history.sole_version(pool, since_ms=self._since_ms(now_ms=now_ms))
+
+    def sole_observed_version(self, pool: str, *, now_ms: int) -> str | None:
+        """Return the only version that this entry has seen serve `pool`, or None.
+
+        Others may have served before its history begins.
+        """
+        versions = self.history.observed_versions(
+            pool, since_ms=self._since_ms(now_ms=now_ms)
+        )
+        return next(iter(versions)) if len(versions) == 1 else None
+
+    def _since_ms(self, *, now_ms: int) -> int:
+        """Return the earliest time at which a stream of now can have begun."""
+        return now_ms - self._retention_ms - SERVING_MARGIN_MS
 
 
 def stream_key(attempt_id: str) -> int:
--- a/pistachiohaven/components/origin/_history.py
+++ b/pistachiohaven/components/origin/_history.py
@@ -43,6 +43,14 @@
         """Return the versions of the targets that are listed now."""
         return {version for name, version in self._listed.values() if name == pool}
 
+    def observed_versions(self, pool: str, *, since_ms: int) -> set[str]:
+        """Return the versions that were listed from `since_ms` on, as far as known."""
+        return self.listed_versions(pool) | {
+            version
+            for version, removed_ms in self._removed_ms[pool].items()
+            if removed_ms >= since_ms
+        }
+
     def sole_version(self, pool: str, *, since_ms: int) -> str | None:
         """Return the only version that was listed from `since_ms` on.
 
@@ -50,10 +58,5 @@
         """
         if self._complete_since_ms is None or self._complete_since_ms > since_ms:
             return None
-        versions = self.listed_versions(pool)
-        versions |= {
-            version
-            for version, removed_ms in self._removed_ms[pool].items()
-            if removed_ms >= since_ms
-        }
+        versions = self.observed_versions(pool, since_ms=since_ms)
         return next(iter(versions)) if len(versions) == 1 else None
--- a/tests/components/gateway/test_origins.py
+++ b/tests/components/gateway/test_origins.py
@@ -255,6 +255,21 @@
     run(test, count=2)
 
 
+def test_caller_that_names_no_attempt_goes_on_at_the_only_version_seen() -> None:
+    async def test(network: Network) -> None:
+        node, _ = network.nodes.values()
+        node.list_targets("v1")
+        origin = await node.link.find(None, pool="p")
+        assert origin is not None
+        assert origin.version == "v1"
+        assert not network.sent
+        assert await find(node) is None
+        node.origins.history.put("i-0", pool="p", version="v1.1", now_ms=1)
+        assert await node.link.find(None, pool="p") is None
+
+    run(test, count=2)
+
+
 def test_few_of_many_peers_are_asked_and_those_know() -> None:
     async def test(network: Network) -> None:
         first, second, *_ = network.nodes.values()
--- a/tests/platform/test_published.py
+++ b/tests/platform/test_published.py
@@ -50,6 +50,7 @@
     "zone": "z",
     "slots": 12,
     "state": "ready",
+    "version": "v1.2",
     "born": 1_700_000_000_000,
 }
 
@@ -86,7 +87,8 @@
     assert isinstance(decoded, Ok)
     target = decoded.ok_value
     assert (target.name, target.pool, target.slots) == ("i-1", "p", 12)
-    assert target.incarnation == "i-1@1700000000000"
+    assert target.version == "v1.2"
+    assert target.incarnation == "i-1@1700000000000/v1.2"
 
 
 @pytest.mark.parametrize(
