Cut a response through a sidecar that grows without end

A caller of an entry never got an answer, and the entry's memory grew, while a service sent a body without end: the deadline of an entry applies to the first byte only, and neither entry nor sidecar limited the size.

--- a/pistachiohaven/components/sidecar/_runner.py
+++ b/pistachiohaven/components/sidecar/_runner.py
@@ -14,7 +14,7 @@
     count_response_tokens,
     target_headers,
 )
-from pistachiohaven.components.web import call, iter_body
+from pistachiohaven.components.web import call, iter_content
 from pistachiohaven.const import MS_PER_S
 from pistachiohaven.core import Reason
 from pistachiohaven.helpers import Clock, ComponentLogger
@@ -197,7 +197,7 @@
                 status=target_response.status,
                 content_type=headers.get(b"content-type", b"application/json"),
             )
-            async for chunk in iter_body(target_response):
+            async for chunk in iter_content(target_response):
                 if not tokens:
                     self._handle_first_byte(work.request_id)
                 tokens += count_response_tokens(self._target, chunk) or 1
--- a/pistachiohaven/components/web/__init__.py
+++ b/pistachiohaven/components/web/__init__.py
@@ -19,6 +19,7 @@
     MeteredBackend,
     Pacer,
     iter_body,
+    iter_content,
     read_content,
 )
 from ._serve import Listener, Server, ServerOptions, listen, serve
@@ -42,6 +43,7 @@
     "ServerOptions",
     "call",
     "iter_body",
+    "iter_content",
     "listen",
     "make_connection_pool",
     "read_body",
--- a/pistachiohaven/components/web/_metered.py
+++ b/pistachiohaven/components/web/_metered.py
@@ -163,14 +163,22 @@
         yield chunk
 
 
-async def read_content(response: httpcore.Response) -> bytes:
-    """Return the complete body of a response on a metered stream.
+async def iter_content(response: httpcore.Response) -> AsyncIterator[bytes]:
+    """Yield the body of a response on a metered stream, up to `MAX_CONTENT_BYTES`.
 
-    Raises ContentTooLargeError beyond `MAX_CONTENT_BYTES`, and what `iter_body` raises.
+    Raises ContentTooLargeError beyond that, and what `iter_body` raises.
     """
-    content = bytearray()
+    size_bytes = 0
     async for chunk in iter_body(response):
-        content += chunk
-        if len(content) > MAX_CONTENT_BYTES:
+        size_bytes += len(chunk)
+        if size_bytes > MAX_CONTENT_BYTES:
             raise ContentTooLargeError("content too large")
-    return bytes(content)
+        yield chunk
+
+
+async def read_content(response: httpcore.Response) -> bytes:
+    """Return the complete body of a response on a metered stream.
+
+    Raises what `iter_content` raises.
+    """
+    return b"".join([chunk async for chunk in iter_content(response)])
