--- a/tests/components/gateway/test_endless_responses.py
+++ b/tests/components/gateway/test_endless_responses.py
@@ -53,6 +53,9 @@
 LARGEST_ANSWER_BYTES = 16_777_216
 """Largest answer of the store that is read."""
 
+CHUNKS_PER_TURN_TARGET = 128
+"""Most chunks that may be processed before other tasks run."""
+
 REPEATED_TARGET_EVENTS = 2_048
 """Most events that the caller has that are read in a row."""
 
@@ -172,6 +175,32 @@
     assert exchange.chunks <= PACED_TARGET_PIECES
 
 
+def test_other_tasks_run_while_small_chunks_are_processed(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """Also if thousands of chunks arrive with one read."""
+    chunks = 3_000
+    wire = (b"10\r\n" + b"a" * 16 + b"\r\n") * chunks
+    exchange = Exchange(iter([CHUNKED_HEAD, wire, b"0\r\n\r\n"]), monkeypatch)
+    turns = 0
+
+    async def count_turns() -> None:
+        nonlocal turns
+        while True:
+            await trio.lowlevel.checkpoint()
+            turns += 1
+
+    async def run() -> None:
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(count_turns)
+            await exchange.run()
+            nursery.cancel_scope.cancel()
+
+    trio.run(run)
+    assert exchange.chunks == chunks
+    assert turns >= chunks // CHUNKS_PER_TURN_TARGET
+
+
 @pytest.mark.parametrize("chunks_per_event", [1, 3, 10])
 def test_stream_of_small_events_is_read_without_delay(
     chunks_per_event: int, monkeypatch: pytest.MonkeyPatch
