Keep the configuration when a peer's full list of records lacks it

A gateway that starts while the store is silent got no configuration from a peer that serves one, and refused all requests: a full response of another peer, which had read a restored store before the configuration was written there again, removed the record from the first one's catalogue, though not from its routes. A missing configuration is no deletion, neither in a read of the store nor in a peer's response; only targets are removed by a full list. test_records_of_a_peer_without_a_configuration_do_not_remove_it failed before and passes. Found by reading the code for responses that are taken as proof of more than they say.

--- a/pistachiohaven/components/gateway/_store_watch.py
+++ b/pistachiohaven/components/gateway/_store_watch.py
@@ -297,33 +297,42 @@
                 "peer_answer_unreadable", peer=peer.member.name, error=str(error)
             )
             return
-        changes = [
-            StoreRecord(key=item.key, value=item.value, revision=item.revision)
-            for item in response.changes
-        ]
-        if response.is_full:
-            keys = {item.key for item in changes}
-            changes += state.catalogue.implied_deletions("", keys, response.revision)
-        is_restored = state.is_restored_at(response.revision)
-        if is_restored:
-            state.on_store_restored(revision=response.revision, source=peer.member.name)
-        # A peer sends the newest change of each key only.
-        state.origins.history.restart(now_ms=state.clock.now_ms())
-        before = state.catalogue.revision
-        applied = state.apply_changes(
-            changes,
-            revision=response.revision,
-            source=peer.member.name,
-            is_restored=is_restored,
-        )
-        state.log.info(
-            "peer_records_read",
-            peer=peer.member.name,
-            records=len(changes),
-            applied=applied,
-            before=before,
-            revision=response.revision,
+        apply_peer_response(state, response, peer=peer.member.name)
+
+
+def apply_peer_response(
+    state: GatewayState, response: PeerStoreResponse, *, peer: str
+) -> None:
+    """Apply the records of the gateway named `peer`."""
+    changes = [
+        StoreRecord(key=item.key, value=item.value, revision=item.revision)
+        for item in response.changes
+    ]
+    if response.is_full:
+        keys = {item.key for item in changes}
+        changes += state.catalogue.implied_deletions(
+            platform.TARGETS_PREFIX, keys, response.revision
         )
+    is_restored = state.is_restored_at(response.revision)
+    if is_restored:
+        state.on_store_restored(revision=response.revision, source=peer)
+    # A peer sends the newest change of each key only.
+    state.origins.history.restart(now_ms=state.clock.now_ms())
+    before = state.catalogue.revision
+    applied = state.apply_changes(
+        changes,
+        revision=response.revision,
+        source=peer,
+        is_restored=is_restored,
+    )
+    state.log.info(
+        "peer_records_read",
+        peer=peer,
+        records=len(changes),
+        applied=applied,
+        before=before,
+        revision=response.revision,
+    )
 
 
 def _to_records(snapshot: platform.Snapshot) -> list[StoreRecord]:
--- a/tests/components/gateway/test_state.py
+++ b/tests/components/gateway/test_state.py
@@ -8,6 +8,7 @@
 from pistachiohaven.components.gateway._state import GatewayState
 from pistachiohaven.components.gateway._store_watch import (
     PeerStoreResponse,
+    apply_peer_response,
     encode_store_response,
 )
 from pistachiohaven.config import GatewaySettings
@@ -123,3 +124,24 @@
     assert known_load is not None
     assert known_load.is_leaving
     assert not state.is_ready()
+
+
+def test_records_of_a_peer_without_a_configuration_do_not_remove_it() -> None:
+    """A peer may have read a restored store that lacks the configuration for a while.
+
+    A gateway that starts meanwhile gets it from this one.
+    """
+    state = make_state([0.0])
+    state.apply_changes([config_item(7, 10)], revision=10, source="store")
+    restored = make_state([0.0])
+    restored.apply_full_list("servers/", [], revision=(2 << 40) + 3)
+    restored.catalogue.advance((2 << 40) + 3)
+    body = encode_store_response(restored, after=state.catalogue.revision)
+    response = msgspec.msgpack.decode(body, type=PeerStoreResponse)
+    apply_peer_response(state, response, peer="peer")
+    starting = make_state([0.0])
+    body = encode_store_response(state, after=starting.catalogue.revision)
+    response = msgspec.msgpack.decode(body, type=PeerStoreResponse)
+    apply_peer_response(starting, response, peer="peer")
+    assert starting.route_table is not None
+    assert starting.route_table.config.version == 7
