Keep the name of an incarnation without a version as it was

test_entry_is_decoded_into_a_target failed since the version became part of the name: a target without a version got a trailing slash. The test stays as it is.

--- a/pistachiohaven/components/fleet/_models.py
+++ b/pistachiohaven/components/fleet/_models.py
@@ -124,4 +124,5 @@
 
         A target that restarts with another version under its name is another one.
         """
-        return f"{self.name}@{self.started_ms}/{self.version}"
+        incarnation = f"{self.name}@{self.started_ms}"
+        return f"{incarnation}/{self.version}" if self.version else incarnation
