Answer requests without a response before the process ends

At the end of the grace period, callers whose request still waited for a slot or ran at a target got no answer: the server cancelled their connections. For one that has not run, a refusal is true.

Each request now ends shortly before the process does: 503 with a retry time if no target can have run it, else 502; a begun stream is cut as before.

--- a/pistachiohaven/components/gateway/_daemon.py
+++ b/pistachiohaven/components/gateway/_daemon.py
@@ -20,6 +20,7 @@
 from .const import (
     DRAIN_ACCEPT_MS,
     DRAIN_MARGIN_MS,
+    DRAIN_RESPONSE_MS,
     LOG_FLUSH_INTERVAL_MS,
     SCHEDULER_TICK_MS,
 )
@@ -115,7 +116,9 @@
     """
     with trio.open_signal_receiver(signal.SIGTERM, signal.SIGINT) as signals:
         async for signal_number in signals:
-            state.draining_since_ms = state.clock.now_ms()
+            grace_ms = int(state.settings.stop_grace_s * MS_PER_S)
+            end_ms = state.clock.now_ms() + grace_ms - DRAIN_MARGIN_MS
+            state.start_draining(end_ms=end_ms - DRAIN_RESPONSE_MS)
             state.log.info("leaving", signal=signal_number, in_flight=app.in_flight)
             break
         await trio.sleep(DRAIN_ACCEPT_MS / MS_PER_S)
--- a/pistachiohaven/components/gateway/_request.py
+++ b/pistachiohaven/components/gateway/_request.py
@@ -85,14 +85,24 @@
             self._log_over_quota(wait_ms)
             await self._send_refusal(TOO_MANY_REQUESTS, Reason.OVER_QUOTA, wait_ms)
             return
-        remaining_ms = max(call.deadline_ms - DEADLINE_MARGIN_MS - now_ms, 0)
+        deadline_ms = call.deadline_ms - DEADLINE_MARGIN_MS
+        if self._state.drain_end_ms is not None:
+            deadline_ms = min(deadline_ms, self._state.drain_end_ms)
+        remaining_ms = max(deadline_ms - now_ms, 0)
         try:
             with trio.move_on_after(remaining_ms / MS_PER_S) as deadline_scope:
+                self._state.request_scopes.add(deadline_scope)
                 await self._run_attempts()
         finally:
+            self._state.request_scopes.discard(deadline_scope)
             self._refund_quota()
         if deadline_scope.cancelled_caught:
-            await self._respond_without_target(Reason.DEADLINE)
+            is_late = (
+                self._state.clock.now_ms() >= call.deadline_ms - DEADLINE_MARGIN_MS
+            )
+            await self._respond_without_target(
+                Reason.DEADLINE if is_late else Reason.DRAINING
+            )
 
     # Dispatches
 
--- a/pistachiohaven/components/gateway/_state.py
+++ b/pistachiohaven/components/gateway/_state.py
@@ -3,6 +3,7 @@
 import random
 from collections.abc import Iterable
 
+import trio
 from result import Err
 
 from pistachiohaven import platform
@@ -91,6 +92,8 @@
         self.last_store_response_ms: int | None = None
         self.complete_until_ms: int | None = None
         self.draining_since_ms: int | None = None
+        self.drain_end_ms: int | None = None
+        self.request_scopes: set[trio.CancelScope] = set()
         self.removed_addresses: list[str] = []
         self._retry_budgets: dict[str, WindowBudget] = {}
 
@@ -117,6 +120,19 @@
 
     # Readiness
 
+    def is_draining(self) -> bool:
+        """Return True if this gateway is going to stop."""
+        return self.draining_since_ms is not None
+
+    def start_draining(self, *, end_ms: int) -> None:
+        """Stop being ready; requests end at `end_ms` at the latest."""
+        now_ms = self.clock.now_ms()
+        self.draining_since_ms = now_ms
+        self.drain_end_ms = end_ms
+        end_s = trio.current_time() + (end_ms - now_ms) / MS_PER_S
+        for scope in self.request_scopes:
+            scope.deadline = min(scope.deadline, end_s)
+
     def is_ready(self) -> bool:
         """Return True if this gateway can serve callers.
 
--- a/pistachiohaven/components/gateway/const.py
+++ b/pistachiohaven/components/gateway/const.py
@@ -92,6 +92,9 @@
 DRAIN_MARGIN_MS: Final = 700
 """Margin before the end of the grace period at which the process exits."""
 
+DRAIN_RESPONSE_MS: Final = 200
+"""Time before the exit at which requests without a response are answered."""
+
 NO_CONFIG_RETRY_AFTER_MS: Final = 500
 """Retry time sent to callers before a first configuration has been read."""
 
