--- a/pistachiohaven/components/web/_serve.py
+++ b/pistachiohaven/components/web/_serve.py
@@ -74,8 +74,10 @@
         their next idle time on.
         """
         self._config.graceful_timeout = options.grace_s
-        self._config.keep_alive_timeout = options.keep_alive_s
         self._config.h11_max_incomplete_size = options.max_header_bytes
+        if options.keep_alive_s == self._config.keep_alive_timeout:
+            return
+        self._config.keep_alive_timeout = options.keep_alive_s
         for connection in self._connections:
             connection.idle_task.extend()
 
