--- a/pistachiohaven/components/gateway/_request.py
+++ b/pistachiohaven/components/gateway/_request.py
@@ -22,9 +22,10 @@
 from ._response import ResponseWriter
 from ._state import GatewayState
 from .const import (
-    BUDGET_CHECK_INTERVAL_MS,
     DEADLINE_MARGIN_MS,
     MAX_EXTRA_REJECTIONS,
+    MAX_RESUMPTION_PAUSE_MS,
+    MIN_RESUMPTION_PAUSE_MS,
     MIN_RETRY_AFTER_MS,
     ORIGIN_RETRY_AFTER_MS,
 )
@@ -64,6 +65,7 @@
         self._is_quota_charged = False
         self._is_resend_budget_consumed = False
         self._is_origin_recorded = False
+        self._resumption_pauses = 0
         self._target_error: CompleteResponse | None = None
         self.reason: Reason | None = None
         self.version: str | None = None
@@ -228,19 +230,32 @@
         is_rejected_resumption = (
             self._response.is_started and failed.failure in _NOT_RUN_FAILURES
         )
+        if is_rejected_resumption:
+            await self._pause_resumption()
         while not self._is_resend_budget_consumed and not self._consume_budget(
             failed.failure
         ):
             if not is_rejected_resumption:
                 self.reason = Reason.RETRY_BUDGET
                 return False
-            await trio.sleep(BUDGET_CHECK_INTERVAL_MS / MS_PER_S)
+            await self._pause_resumption()
         self._is_resend_budget_consumed = False
         if not is_rejected_resumption:
             self._job.excluded_targets.add(target)
         self._job.has_response_started = self._response.is_started
         return True
 
+    async def _pause_resumption(self) -> None:
+        """Wait before a rejected response is resumed again, longer each time.
+
+        Otherwise one response could use up the retry budget of its pool.
+        """
+        pause_ms = min(
+            MIN_RESUMPTION_PAUSE_MS << self._resumption_pauses, MAX_RESUMPTION_PAUSE_MS
+        )
+        self._resumption_pauses += 1
+        await trio.sleep(pause_ms / MS_PER_S)
+
     def _may_move(self, target: str, failure: Failure) -> bool:
         """Return True if the request can move from its stalled target to another now.
 
--- a/pistachiohaven/components/gateway/const.py
+++ b/pistachiohaven/components/gateway/const.py
@@ -116,8 +116,11 @@
 It does not apply to a response that has started.
 """
 
-BUDGET_CHECK_INTERVAL_MS: Final = 100
-"""Interval at which a started response checks whether there is retry budget again."""
+MIN_RESUMPTION_PAUSE_MS: Final = 100
+"""First pause of a started response that a target rejected; it doubles each time."""
+
+MAX_RESUMPTION_PAUSE_MS: Final = 1_000
+"""Longest pause of a started response that targets reject."""
 
 MIN_RETRY_AFTER_MS: Final = 100
 """Shortest retry time sent to callers; about one interval of the peer exchange."""
