Wait for the targets of the emulated fleet before the first request

Traced by the logs of a run of "A graceful shutdown cuts no request": the first request was refused with target_unreachable, since the target's process did not listen yet. The fleet waited for entries and sidecars only.

It now waits until each target responds. No check is changed.

--- a/features/fleet.py
+++ b/features/fleet.py
@@ -275,6 +275,9 @@
         for member in self.members.values():
             if member is not self.platform:
                 member.start()
+        for name in self.members:
+            if name.startswith("target"):
+                wait_until(lambda name=name: self.target_runs(name), f"{name} listens")
         for name, member in self.members.items():
             if name.startswith(("entry", "sidecar")):
                 wait_until(member.is_ready, f"{name} is ready")
