--- a/pistachiohaven/components/gateway/_state.py
+++ b/pistachiohaven/components/gateway/_state.py
@@ -44,6 +44,8 @@
     `last_store_response_ms`, `complete_until_ms` and `draining_since_ms` are monotonic
     times. The first two are None before the first response, the last until the gateway
     drains. All changes that the store confirmed before `complete_until_ms` are applied.
+    `request_scopes` are those of the requests in progress, which end at `drain_end_ms`
+    at the latest once the gateway drains.
     `removed_addresses` lists removed and leaving targets whose idle connections are
     still to be closed.
     """
