--- a/tests/components/web/test_request_before_the_close.py
+++ b/tests/components/web/test_request_before_the_close.py
@@ -5,7 +5,12 @@
 
 from pistachiohaven.components.web import Server, listen
 
-from .test_unanswered_request import REQUEST, Application, connect
+from .test_unanswered_request import (
+    REQUEST,
+    Application,
+    connect,
+    wait_until_accepted,
+)
 
 TURNS = 14
 
@@ -22,7 +27,7 @@
         async with trio.open_nursery() as nursery:
             nursery.start_soon(server.serve, Application(), stop)
             connections = connect(listener.address)
-            await trio.sleep(0.1)
+            await wait_until_accepted(connections)
             stop.set()
             for _ in range(turns):
                 await trio.lowlevel.checkpoint()
--- a/tests/components/web/test_unanswered_request.py
+++ b/tests/components/web/test_unanswered_request.py
@@ -92,6 +92,16 @@
     assert statuses.count(200) == application.requests == CONNECTIONS
 
 
+async def wait_until_accepted(connections: list[socket.socket]) -> None:
+    """Wait until the server has answered a first request on each connection.
+
+    A server that stops resets those that it has not accepted yet.
+    """
+    for connection in connections:
+        connection.send(REQUEST)
+    assert set(await collect_statuses(connections)) == {200}
+
+
 @pytest.mark.parametrize("turns", range(8))
 def test_request_read_while_the_server_stops_is_answered(turns: int) -> None:
     """Requests arrive some turns of the event loop after the server was stopped."""
@@ -105,7 +115,8 @@
         async with trio.open_nursery() as nursery:
             nursery.start_soon(server.serve, application, stop)
             connections = connect(listener.address)
-            await trio.sleep(0.1)
+            await wait_until_accepted(connections)
+            application.requests = 0
             stop.set()
             for _ in range(turns):
                 await trio.lowlevel.checkpoint()
