Log the size of a request and the time that it has

Callers of large requests reported that few of them are served under overload. No line of a gateway tells the size of a request, so that an order that prefers small requests, work that does not end in time and the quota can't be told apart.

--- a/pistachiohaven/components/gateway/_app.py
+++ b/pistachiohaven/components/gateway/_app.py
@@ -262,12 +262,16 @@
             request_id=call.head.attempt_id,
             route=call.route.name,
             rank=call.rank,
+            prompt_tokens=call.head.prompt_tokens,
+            max_output_tokens=call.head.max_output_tokens,
+            expected_output_tokens=call.head.expected_output_tokens,
             status=response.status,
             reason=reason,
             version=version,
             detail=detail,
             first_byte_ms=first_byte_ms,
             total_ms=now_ms - call.arrived_ms,
+            deadline_ms=call.deadline_ms - call.arrived_ms,
             last_event_id=response.last_event_id,
         )
 
