Add a failing test of large requests that are hardly served

Callers of a deployment with 22 entries reported that the largest requests of a kind were served much less often than the kind.

The test replays such sizes (log-normal, 1.4) on simulated entries that report late.

--- a/tests/components/placement/simulation.py
+++ b/tests/components/placement/simulation.py
@@ -18,16 +18,24 @@
 SERVICE_MS = 1_200
 MAX_WAIT_MS = 3_200
 STEP_MS = 20
+MAX_SIZE = 10.0
+"""Size of the largest requests of a class, relative to the average."""
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
 class RequestClass:
-    """Requests of one rank; they run for `service_ms` on average."""
+    """Requests of one rank; they run for `service_ms` on average.
+
+    With a `size_spread`, tokens and times are log-normal, and this is the standard
+    deviation of their logarithm. They have `max_run_ms` in all.
+    """
 
     rank: int
     prompt_tokens: int = 600
     output_tokens: int = 200
     service_ms: int = SERVICE_MS
+    size_spread: float = 0.0
+    max_run_ms: int = 12_000
 
 
 EQUAL_CLASSES = tuple(RequestClass(rank=rank) for rank in range(3))
@@ -38,7 +46,9 @@
     """Used and overcommitted shares of all slots over time.
 
     `placed` and `requested` count placements and requests by rank, and `placed_at_ms`
-    and `requested_at_ms` are their times.
+    and `requested_at_ms` are their times. `sizes` are those of all requests by rank, 1
+    on average, by number; `served` are the numbers of those that ended in time.
+    `late_slot_ms` is the time in slots of requests that did not.
     """
 
     used_share: float = 0.0
@@ -52,17 +62,34 @@
         default_factory=lambda: defaultdict(list)
     )
 
+    sizes: dict[int, dict[int, float]] = field(
+        default_factory=lambda: defaultdict(dict)
+    )
+    served: set[int] = field(default_factory=set)
+    late_slot_ms: int = 0
+
     def served_share(self, rank: int) -> float:
         """Return the share of the requests of `rank` that were placed."""
         return self.placed[rank] / self.requested[rank]
 
+    def served_shares_by_size(self, rank: int) -> list[float]:
+        """Return the share of each tenth by size that ended in time, smallest first."""
+        sizes = self.sizes[rank]
+        numbers = sorted(sizes, key=lambda number: sizes[number])
+        bounds = [len(numbers) * tenth // 10 for tenth in range(11)]
+        return [
+            fmean(number in self.served for number in numbers[start:end])
+            for start, end in itertools.pairwise(bounds)
+        ]
+
 
 @dataclass(kw_only=True)
 class Overload:
     """Simulation of entries that share targets.
 
     Each entry reports to each peer once per `report_interval_ms`. `load` is the ratio
-    of the requested slots to the existing ones. Requests are of `classes` in turn.
+    of the requested slots to the existing ones. Requests are of `classes` in turn. The
+    targets are slower than the average one by `speeds` in turn.
     """
 
     entries: int
@@ -71,6 +98,8 @@
     load: float
     classes: tuple[RequestClass, ...] = EQUAL_CLASSES
     seed: int = 1
+    slots: int = SLOTS
+    speeds: tuple[float, ...] = (1.0,)
 
     def __post_init__(self) -> None:
         self.rng = random.Random(self.seed)
@@ -79,7 +108,7 @@
         for scheduler in self.schedulers.values():
             scheduler.configure({"p": POOL})
             for number in range(self.targets):
-                scheduler.put_target(make_target(f"i-{number}"))
+                scheduler.put_target(make_target(f"i-{number}", slots=self.slots))
         self.running: Counter[str] = Counter()
         self.pending_ends: list[tuple[int, int, str, str, str]] = []
         self.outcome = Outcome()
@@ -88,7 +117,12 @@
         """Run the simulation; measure slots after the first quarter of the time."""
         mean_service_ms = fmean(each.service_ms for each in self.classes)
         requests_per_step = (
-            self.load * self.targets * SLOTS * STEP_MS / mean_service_ms / self.entries
+            self.load
+            * self.targets
+            * self.slots
+            * STEP_MS
+            / mean_service_ms
+            / self.entries
         )
         request_numbers = itertools.count()
         steps = 0
@@ -102,7 +136,7 @@
             if now_ms >= length_ms / 4:
                 steps += 1
                 self._measure()
-        slot_steps = steps * self.targets * SLOTS
+        slot_steps = steps * self.targets * self.slots
         self.outcome.used_share /= slot_steps
         self.outcome.overcommitted_share /= slot_steps
         return self.outcome
@@ -110,6 +144,8 @@
     def _submit(self, name: str, number: int, now_ms: int) -> None:
         request_class = self.classes[number % len(self.classes)]
         rank = request_class.rank
+        size = self._draw_size(request_class)
+        self.outcome.sizes[rank][number] = size
         self.outcome.requested[rank] += 1
         self.outcome.requested_at_ms[rank].append(now_ms)
         job = Job(
@@ -117,17 +153,25 @@
             pool="p",
             organisation="org",
             rank=rank,
-            prompt_tokens=request_class.prompt_tokens,
+            prompt_tokens=int(request_class.prompt_tokens * size),
             shared_tokens=0,
-            output_tokens=request_class.output_tokens,
+            output_tokens=int(request_class.output_tokens * size),
             session_part="",
             arrived_ms=now_ms,
             first_byte_due_ms=now_ms + 400,
             wait_limit_ms=now_ms + MAX_WAIT_MS,
-            deadline_ms=now_ms + 12_000,
+            deadline_ms=now_ms + request_class.max_run_ms,
         )
         self.schedulers[name].submit(job, now_ms=now_ms)
 
+    def _draw_size(self, request_class: RequestClass) -> float:
+        """Return the size of a request relative to the average of its class."""
+        spread = request_class.size_spread
+        if not spread:
+            return 1.0
+        size = self.rng.lognormvariate(-spread * spread / 2, spread)
+        return min(size, MAX_SIZE)
+
     def _schedule(self, name: str, now_ms: int) -> None:
         for decision in self.schedulers[name].schedule(now_ms=now_ms):
             if not isinstance(decision, Placement):
@@ -137,12 +181,21 @@
             self.outcome.placed[decision.job.rank] += 1
             self.outcome.placed_at_ms[decision.job.rank].append(now_ms)
             # Requests beyond the slots of a target slow down the later ones.
-            overload_ratio = max(self.running[target] - SLOTS, 0) / SLOTS
+            overload_ratio = max(self.running[target] - self.slots, 0) / self.slots
             number = int(decision.job.request_id.removeprefix("r-"))
-            service_ms = self.classes[number % len(self.classes)].service_ms
+            request_class = self.classes[number % len(self.classes)]
+            size = self.outcome.sizes[request_class.rank][number]
+            speed = self.speeds[int(target.removeprefix("i-")) % len(self.speeds)]
+            service_ms = request_class.service_ms * size * speed
             duration_ms = int(
                 service_ms * (0.5 + self.rng.random()) * (1 + overload_ratio)
             )
+            remaining_ms = decision.job.deadline_ms - now_ms
+            if duration_ms <= remaining_ms:
+                self.outcome.served.add(number)
+            else:
+                duration_ms = remaining_ms
+                self.outcome.late_slot_ms += duration_ms
             end = (now_ms + duration_ms, self.rng.random())
             request_id = decision.job.request_id
             heapq.heappush(
@@ -185,17 +238,17 @@
     def _measure(self) -> None:
         for number in range(self.targets):
             running = self.running[f"i-{number}"]
-            self.outcome.used_share += min(running, SLOTS)
-            self.outcome.overcommitted_share += max(running - SLOTS, 0)
+            self.outcome.used_share += min(running, self.slots)
+            self.outcome.overcommitted_share += max(running - self.slots, 0)
 
 
-def make_target(name: str) -> Target:
+def make_target(name: str, *, slots: int = SLOTS) -> Target:
     return Target(
         name=name,
         pool="p",
         address="10.0.0.1:80",
         data_centre="z",
-        slots=SLOTS,
+        slots=slots,
         leaving=False,
         started_ms=1,
     )
