Give part of the placements of a rank to the requests that arrived first

Callers saw that of the largest requests of a kind much fewer were served than of the whole kind, the more the longer an overload lasted.

Cause: a rank was ordered by arrival plus expected work. Requests wait for 1 to 2 s at most. Once the queue is as long as that, only requests whose work is short beside the wait limit reach its head, whatever their number; the bound of the overtaking, a request's own work, is longer than the wait limit and bounds nothing. Class of fault: a choice by size without a minimum for the large ones.

Now a share of the placements of each rank goes to the request that arrived first: the share of its recent requests that were not served, at least a quarter. Under light load the order by work keeps its gain, under heavy load sizes are treated alike.

--- a/pistachiohaven/components/placement/_scheduler.py
+++ b/pistachiohaven/components/placement/_scheduler.py
@@ -7,11 +7,11 @@
 from pistachiohaven.components.notice import TargetNotices
 from pistachiohaven.components.rate_limit import RateLimits
 from pistachiohaven.core import Reason
-from pistachiohaven.helpers import Ewma, rendezvous_order
+from pistachiohaven.helpers import Ewma, rendezvous_order, stable_fraction
 
 from ._job import Decision, Job, Placement, Refusal
 from ._load import PeerLoad, TargetLoad
-from ._order import measure_speed, scheduling_key
+from ._order import ServingOrder, measure_speed
 from ._peer_queues import PeerQueues
 from ._reserved import ReservedSlots
 from ._served import ServedShares
@@ -32,10 +32,11 @@
 
     The most urgent rank is served first. Within a rank, requests that can still meet
     their first-byte target are served before late ones; otherwise a queue that once
-    grew would make every later request late, too. A rank that is served much less often
-    than the more urgent ones gets a few slots ahead of them. `name` is that of this
-    entry, which started at `started_ms`. `rate_limits` and `notices` are what targets
-    say about the requests that they take.
+    grew would make every later request late, too. Short requests go ahead of long ones
+    in a part of the placements only (see `ServingOrder`). A rank that is served much
+    less often than the more urgent ones gets a few slots ahead of them. `name` is that
+    of this entry, which started at `started_ms`. `rate_limits` and `notices` are what
+    targets say about the requests that they take.
     """
 
     def __init__(
@@ -59,6 +60,9 @@
         self._peer_queues = PeerQueues()
         self._served_shares = ServedShares()
         self._reserved_slots = ReservedSlots(served_shares=self._served_shares)
+        self._order = ServingOrder(
+            served_shares=self._served_shares, phase=stable_fraction(name)
+        )
 
     # Targets
 
@@ -275,7 +279,7 @@
         """
         decisions: list[Decision] = []
         speed = measure_speed(self._pool_loads(jobs[0].pool))
-        jobs.sort(key=lambda job: scheduling_key(job, speed, now_ms=now_ms))
+        jobs[:] = self._order.sort(jobs, speed, now_ms=now_ms)
         is_blocked = False
         free_slots = self._free_slots(jobs[0].pool, now_ms=now_ms)
         reserved_jobs = self._reserved_slots.select_jobs(
@@ -379,6 +383,7 @@
             has_reserved_slot=has_reserved_slot,
         )
         load.record_sent(job, now_ms=now_ms)
+        self._order.record_placement(job)
         self._record_placement_rank(job.pool, job.rank)
         self._record_end(job, is_served=True, now_ms=now_ms)
         return placement
--- a/pistachiohaven/components/placement/const.py
+++ b/pistachiohaven/components/placement/const.py
@@ -105,3 +105,6 @@
 
 MIN_STARTS_PER_MS: Final = 0.0001
 """Smallest rate of starts assumed for a pool, one in 10 s, to bound expected waits."""
+
+MIN_ARRIVAL_ORDER_SHARE: Final = 0.25
+"""Smallest share of a rank's placements that go to the request that arrived first."""
--- a/pistachiohaven/helpers/__init__.py
+++ b/pistachiohaven/helpers/__init__.py
@@ -2,7 +2,7 @@
 
 from ._clock import Clock
 from ._ewma import Ewma
-from ._hashing import rendezvous_first, rendezvous_order, stable_hash
+from ._hashing import rendezvous_first, rendezvous_order, stable_fraction, stable_hash
 from ._ids import make_uuid7, uuid7_stamp_ms
 from ._logs import BoundedLog, ComponentLogger, log_bounded, log_to
 from ._ttl import TtlMap
@@ -18,6 +18,7 @@
     "make_uuid7",
     "rendezvous_first",
     "rendezvous_order",
+    "stable_fraction",
     "stable_hash",
     "uuid7_stamp_ms",
 ]
--- a/pistachiohaven/helpers/_hashing.py
+++ b/pistachiohaven/helpers/_hashing.py
@@ -10,6 +10,11 @@
     return xxhash.xxh3_64_intdigest("\x1f".join(parts).encode())
 
 
+def stable_fraction(*parts: str) -> float:
+    """Return a number from 0 to below 1 that is the same in every process."""
+    return stable_hash(*parts) / 2**64
+
+
 def rendezvous_order(key: str, names: Iterable[str]) -> list[str]:
     """Return `names` in descending order of their rendezvous weight for `key`."""
     return sorted(names, key=lambda name: (stable_hash(key, name), name), reverse=True)
--- a/tests/components/placement/simulation.py
+++ b/tests/components/placement/simulation.py
@@ -104,7 +104,7 @@
     def __post_init__(self) -> None:
         self.rng = random.Random(self.seed)
         self.names = [f"gateway-{number}" for number in range(self.entries)]
-        self.schedulers = {name: Scheduler() for name in self.names}
+        self.schedulers = {name: Scheduler(name=name) for name in self.names}
         for scheduler in self.schedulers.values():
             scheduler.configure({"p": POOL})
             for number in range(self.targets):
--- a/tests/components/placement/test_large_requests_not_served.py
+++ b/tests/components/placement/test_large_requests_not_served.py
@@ -35,7 +35,6 @@
 """The operators' bound for the largest tenth and for the fifth below it."""
 
 
-@pytest.mark.known_red
 @pytest.mark.parametrize("seed", [1, 2])
 @pytest.mark.parametrize(("entries", "targets"), [(4, 9), (22, 13)])
 def test_largest_requests_of_a_kind_are_served(
