Leave slots to requests that can end before their deadline

Callers of long requests saw their streams cut at the deadline, after they had used a slot to the end; others were refused meanwhile.

Cause: a request was placed on any target with a free slot, however long it would run there.

Now such a target is left to the other waiting requests, of this entry and of peers, and used only if nobody waits. A target without own or reported measurement is as fast as the others of its pool.

--- a/pistachiohaven/components/placement/_load.py
+++ b/pistachiohaven/components/placement/_load.py
@@ -22,6 +22,7 @@
     FIRST_BYTE_OVERHEAD_MS,
     FULL_EXCLUSION_MS,
     MAX_EXCLUSION_MS,
+    MAX_RUN_RATIO,
     MIN_EXCLUSION_MS,
     MIN_SAMPLE_EVENTS,
     MIN_SAMPLE_TOKENS,
@@ -67,9 +68,10 @@
 class TargetLoad:
     """Running requests, measured speed and failures of one target incarnation.
 
-    `cache_tokens` is the size of an engine's KV cache. The target gets no more requests
-    than `rate_limits` allow, and none against its `notices`, in which
-    `incarnation_hash` names it. All times are monotonic milliseconds.
+    `cache_tokens` is the size of an engine's KV cache. `pool_token_ms` is the time per
+    output token at all targets of the pool, to which this one adds its own. The target
+    gets no more requests than `rate_limits` allow, and none against its `notices`, in
+    which `incarnation_hash` names it. All times are monotonic milliseconds.
     """
 
     def __init__(
@@ -78,6 +80,7 @@
         target: Target,
         is_engine: bool,
         cache_tokens: int,
+        pool_token_ms: Ewma,
         rate_limits: RateLimits,
         notices: TargetNotices,
     ) -> None:
@@ -92,6 +95,7 @@
         self._running: dict[str, _Running] = {}
         self._peers: dict[str, PeerLoad] = {}
         self._token_ms = Ewma(weight=SPEED_EWMA_WEIGHT)
+        self._pool_token_ms = pool_token_ms
         self._prefill_rate = Ewma(weight=SPEED_EWMA_WEIGHT)
         self._service_ms = Ewma(weight=SPEED_EWMA_WEIGHT)
         self._failure_share = Ewma(weight=FAILURE_EWMA_WEIGHT)
@@ -165,13 +169,15 @@
     def token_ms(self) -> float:
         """Return the milliseconds per output token.
 
-        Without an own measurement, this is the mean of the peers' values, else
-        `DEFAULT_TOKEN_MS`.
+        Without an own measurement, this is the mean of the peers' values, else that of
+        the other targets of the pool, else `DEFAULT_TOKEN_MS`.
         """
         if self._token_ms.value is not None:
             return self._token_ms.value
         reported = [peer.token_ms for peer in self._peers.values() if peer.token_ms]
-        return sum(reported) / len(reported) if reported else DEFAULT_TOKEN_MS
+        if reported:
+            return sum(reported) / len(reported)
+        return self._pool_token_ms.get(DEFAULT_TOKEN_MS)
 
     @property
     def prefill_tokens_per_ms(self) -> float:
@@ -312,6 +318,17 @@
         backlog = self.own_prefill_tokens() + self._uncached_tokens(job, now_ms=now_ms)
         return FIRST_BYTE_OVERHEAD_MS + backlog / self.prefill_tokens_per_ms
 
+    def can_end_in_time(self, job: Job, *, now_ms: int) -> bool:
+        """Return False if `job` would most likely be cut at its deadline.
+
+        A response that has started is not judged: its rest is shorter than expected.
+        """
+        if not self.is_engine or job.has_response_started:
+            return True
+        run_ms = self.expected_first_event_ms(job, now_ms=now_ms)
+        run_ms += job.output_tokens * self.token_ms
+        return run_ms <= MAX_RUN_RATIO * (job.deadline_ms - now_ms)
+
     # Results of requests
 
     def record_sent(self, job: Job, *, now_ms: int) -> None:
@@ -370,7 +387,9 @@
         ):
             sample = (now_ms - running.first_event_at_ms) / tokens
             low, high = (bound * DEFAULT_TOKEN_MS for bound in SPEED_FACTOR_BOUNDS)
-            self._token_ms.add(min(max(sample, low), high))
+            sample = min(max(sample, low), high)
+            self._token_ms.add(sample)
+            self._pool_token_ms.add(sample)
 
     def record_cancelled(self, request_id: str) -> None:
         """Remove a request that ended for a reason unrelated to the target."""
--- a/pistachiohaven/components/placement/_peer_queues.py
+++ b/pistachiohaven/components/placement/_peer_queues.py
@@ -47,6 +47,10 @@
             if other_rank < rank
         )
 
+    def requests(self, pool: str, *, now_ms: int) -> int:
+        """Return the number of waiting requests of all ranks."""
+        return sum(count for _, _, count in self._waiting(pool, now_ms=now_ms))
+
     def competitors(self, pool: str, rank: int, *, now_ms: int) -> list[str]:
         """Return the peers with waiting requests at least as urgent as `rank`."""
         names = {
--- a/pistachiohaven/components/placement/_scheduler.py
+++ b/pistachiohaven/components/placement/_scheduler.py
@@ -1,6 +1,6 @@
 """Scheduler of the requests that wait for a slot at a target."""
 
-from collections import Counter
+from collections import Counter, defaultdict
 from dataclasses import replace
 
 from pistachiohaven.components.fleet import Pool, Target
@@ -21,6 +21,7 @@
     MAX_WAIT_SHARE,
     MIN_RETRY_AFTER_MS,
     MIN_STARTS_PER_MS,
+    POOL_SPEED_EWMA_WEIGHT,
     RANK_EWMA_WEIGHT,
     START_SHARE_MS,
     WAIT_CHECK_SHARE,
@@ -55,6 +56,9 @@
         self._loads: dict[str, TargetLoad] = {}
         self._removed_targets: set[str] = set()
         self._pools: dict[str, Pool] = {}
+        self._pool_token_ms: dict[str, Ewma] = defaultdict(
+            lambda: Ewma(weight=POOL_SPEED_EWMA_WEIGHT)
+        )
         self._waiting: dict[str, list[Job]] = {}
         self._more_urgent_shares: dict[tuple[str, int], Ewma] = {}
         self._peer_queues = PeerQueues()
@@ -83,6 +87,7 @@
             target=target,
             is_engine=pool.is_engine if pool else True,
             cache_tokens=pool.cache_tokens if pool else 0,
+            pool_token_ms=self._pool_token_ms[target.pool],
             rate_limits=self._rate_limits,
             notices=self._notices,
         )
@@ -314,9 +319,37 @@
                 jobs.remove(job)
                 self._record_end(job, is_served=False, now_ms=now_ms)
             elif not has_reserved_slot:
-                is_blocked = is_blocked or not (
-                    job.excluded_targets or job.version is not None
+                is_blocked = is_blocked or not self._is_restricted(job, now_ms=now_ms)
+        if not is_blocked:
+            decisions += self._use_idle_slots(jobs, free_slots, now_ms=now_ms)
+        return decisions
+
+    def _is_restricted(self, job: Job, *, now_ms: int) -> bool:
+        """Return True if `job` may not be placed on all targets of its pool."""
+        return (
+            bool(job.excluded_targets)
+            or job.version is not None
+            or not all(
+                load.can_end_in_time(job, now_ms=now_ms)
+                for load in self._job_loads(job)
+            )
+        )
+
+    def _use_idle_slots(
+        self, jobs: list[Job], free_slots: int, *, now_ms: int
+    ) -> list[Decision]:
+        """Place jobs that are not expected to end in time on slots nobody waits for."""
+        decisions: list[Decision] = []
+        for job in list(jobs):
+            peer_requests = self._peer_queues.requests(job.pool, now_ms=now_ms)
+            if free_slots - len(decisions) <= peer_requests:
+                break
+            load = self._select_target(job, must_end=False, now_ms=now_ms)
+            if load is not None:
+                decisions.append(
+                    self._place_job(job, load, has_reserved_slot=False, now_ms=now_ms)
                 )
+                jobs.remove(job)
         return decisions
 
     def _record_end(self, job: Job, *, is_served: bool, now_ms: int) -> None:
@@ -325,13 +358,20 @@
             job.pool, job.rank, is_served=is_served, now_ms=now_ms
         )
 
-    def _select_target(self, job: Job, *, now_ms: int) -> TargetLoad | None:
-        """Return the target with a free slot where `job` is expected to end first."""
+    def _select_target(
+        self, job: Job, *, must_end: bool = True, now_ms: int
+    ) -> TargetLoad | None:
+        """Return the target with a free slot where `job` is expected to end first.
+
+        With `must_end`, targets where it can't end before its deadline are left to
+        other jobs.
+        """
         loads = [
             load
             for load in self._job_loads(job)
             if load.target.name not in job.excluded_targets
             and self._may_use_slot(load, job, now_ms=now_ms)
+            and not (must_end and not load.can_end_in_time(job, now_ms=now_ms))
         ]
         return min(
             loads, key=lambda load: load.expected_ms(job, now_ms=now_ms), default=None
--- a/pistachiohaven/components/placement/const.py
+++ b/pistachiohaven/components/placement/const.py
@@ -20,6 +20,9 @@
 SPEED_EWMA_WEIGHT: Final = 0.15
 """Weight of a new sample of a target's speed."""
 
+POOL_SPEED_EWMA_WEIGHT: Final = 0.05
+"""Weight of a new sample of a pool's speed, which has more samples."""
+
 SPEED_FACTOR_BOUNDS: Final = (0.1, 10.0)
 """Smallest and largest ratio of an engine's speed to the default."""
 
@@ -108,3 +111,9 @@
 
 MIN_ARRIVAL_ORDER_SHARE: Final = 0.25
 """Smallest share of a rank's placements that go to the request that arrived first."""
+
+MAX_RUN_RATIO: Final = 1.5
+"""Ratio of expected run to remaining time above which a job is not expected to end.
+
+Callers' hints of long outputs are too large on average.
+"""
--- a/tests/components/gateway/test_stall.py
+++ b/tests/components/gateway/test_stall.py
@@ -10,7 +10,7 @@
 from pistachiohaven.components.placement import TargetLoad
 from pistachiohaven.components.rate_limit import RateLimits
 from pistachiohaven.const import MS_PER_S
-from pistachiohaven.helpers import Clock, ComponentLogger
+from pistachiohaven.helpers import Clock, ComponentLogger, Ewma
 
 ALLOWED_MS = 1_000.0
 
@@ -43,6 +43,7 @@
             target=target,
             is_engine=True,
             cache_tokens=0,
+            pool_token_ms=Ewma(weight=1.0),
             rate_limits=RateLimits(),
             notices=TargetNotices(),
         )
--- a/tests/components/placement/simulation.py
+++ b/tests/components/placement/simulation.py
@@ -111,6 +111,7 @@
                 scheduler.put_target(make_target(f"i-{number}", slots=self.slots))
         self.running: Counter[str] = Counter()
         self.pending_ends: list[tuple[int, int, str, str, str]] = []
+        self.output_tokens: dict[int, int] = {}
         self.outcome = Outcome()
 
     def run(self, length_ms: int) -> Outcome:
@@ -148,6 +149,7 @@
         self.outcome.sizes[rank][number] = size
         self.outcome.requested[rank] += 1
         self.outcome.requested_at_ms[rank].append(now_ms)
+        self.output_tokens[number] = int(request_class.output_tokens * size)
         job = Job(
             request_id=f"r-{number}",
             pool="p",
@@ -155,7 +157,7 @@
             rank=rank,
             prompt_tokens=int(request_class.prompt_tokens * size),
             shared_tokens=0,
-            output_tokens=int(request_class.output_tokens * size),
+            output_tokens=self.output_tokens[number],
             session_part="",
             arrived_ms=now_ms,
             first_byte_due_ms=now_ms + 400,
@@ -178,6 +180,9 @@
                 continue
             target = decision.target
             self.running[target] += 1
+            load = self.schedulers[name].load(target)
+            assert load is not None
+            load.record_first_event(decision.job.request_id, now_ms=now_ms)
             self.outcome.placed[decision.job.rank] += 1
             self.outcome.placed_at_ms[decision.job.rank].append(now_ms)
             # Requests beyond the slots of a target slow down the later ones.
@@ -208,7 +213,11 @@
             self.running[target] -= 1
             load = self.schedulers[name].load(target)
             assert load is not None
-            load.record_completed(request_id, events=1, tokens=0, now_ms=now_ms)
+            tokens = self.output_tokens[int(request_id.removeprefix("r-"))]
+            events = 1 + tokens // POOL.event_tokens
+            load.record_completed(
+                request_id, events=events, tokens=tokens, now_ms=now_ms
+            )
             self._schedule(name, now_ms)
 
     def _report_to_peers(self, name: str, now_ms: int) -> None:
