Let requests that need a fast target wait for one

Callers of the largest requests were served less often than others even where the order treats sizes alike: since slots at slow targets are left to requests that can end there, few of the slots that become free suit a large one.

Cause: a request past its first-byte target goes after all that are in time. A large request waits longer than that for a fast target, so it lost its turn and was refused at its wait limit.

Now a request that can't end in time at a target of average speed does not count as late.

--- a/pistachiohaven/components/placement/_order.py
+++ b/pistachiohaven/components/placement/_order.py
@@ -49,7 +49,8 @@
     lasting overload only those whose work is short beside the wait limit. So the share
     is that of the recent requests of the rank which were not served, and at least
     `MIN_ARRIVAL_ORDER_SHARE`. In either case, jobs that can meet their first-byte
-    target go before late ones.
+    target go before late ones. A job that can't end in time at a target of average
+    speed does not count as late: it has to wait for a fast one.
 
     `phase` (0 to 1) shifts the turns of this entry, so that the entries together keep
     the share even if each places few jobs.
@@ -86,15 +87,23 @@
         if not others:
             return resumed
 
+        work_ms = {job: speed.expected_work_ms(job) for job in others}
+
         def is_late(job: Job) -> bool:
-            return now_ms > job.first_byte_due_ms
+            return (
+                now_ms > job.first_byte_due_ms
+                and now_ms + work_ms[job] <= job.deadline_ms
+            )
+
+        def arrival_key(job: Job) -> tuple[bool, int]:
+            return is_late(job), job.arrived_ms
 
-        def due_work_ms(job: Job) -> float:
-            return job.arrived_ms + speed.expected_work_ms(job)
+        def work_key(job: Job) -> tuple[bool, float]:
+            return is_late(job), job.arrived_ms + work_ms[job]
 
         return resumed + _take_turns(
-            sorted(others, key=lambda job: (is_late(job), job.arrived_ms)),
-            sorted(others, key=lambda job: (is_late(job), due_work_ms(job))),
+            sorted(others, key=arrival_key),
+            sorted(others, key=work_key),
             turn=self._turn(others[0]),
             share=self._arrival_order_share(others[0]),
         )
