--- a/tests/components/gateway/test_joined_versions.py
+++ b/tests/components/gateway/test_joined_versions.py
@@ -18,12 +18,18 @@
 SEEDS = range(1, 5)
 
 
-def simulate(seed: int, play: Callable[[Simulation], Any], *, entries: int) -> Outcome:
-    """Run `play` in virtual time."""
+def simulate(
+    seed: int,
+    play: Callable[[Simulation], Any],
+    *,
+    entries: int,
+    make: Callable[..., Simulation] = Simulation,
+) -> Outcome:
+    """Run `play` in virtual time on the simulation that `make` returns."""
 
     async def run() -> Outcome:
         trio._core._run._r.seed(seed)
-        return await Simulation(seed=seed, entries=entries).run(play)
+        return await make(seed=seed, entries=entries).run(play)
 
     seeds = random.Random(seed)
     make_rng = SimpleNamespace(Random=lambda: random.Random(seeds.random()))
--- a/tests/components/gateway/version_simulation.py
+++ b/tests/components/gateway/version_simulation.py
@@ -42,6 +42,8 @@
 MAX_ATTEMPTS = 5
 IN_TOUCH_S = 4.0
 SLOTS = 12
+CRASH = b""
+"""Part of a response at which its target crashes."""
 
 
 @dataclass(kw_only=True, eq=False)
@@ -137,7 +139,11 @@
         await self._entry.running.wait()
         if not self._target.is_alive or not self._output:
             raise httpcore.ReadError
-        return self._output.pop(0)
+        chunk = self._output.pop(0)
+        if chunk is CRASH:
+            self._entry.simulation.crash_soon(self._target)
+            raise httpcore.ReadError
+        return chunk
 
     async def aclose(self) -> None:
         """Close the connection."""
@@ -148,7 +154,8 @@
         return None
 
     def _respond(self, headers: dict[str, str]) -> None:
-        rng = self._entry.simulation.rng
+        simulation = self._entry.simulation
+        rng = simulation.rng
         attempt_id = headers["pistachiohaven-attempt-id"]
         after = int(headers.get("last-event-id", "0"))
         lines = ["HTTP/1.1 200 OK", "transfer-encoding: chunked", "connection: close"]
@@ -159,7 +166,9 @@
             event = f"id: {number}\ndata: {self._target.version}\n\n".encode()
             self._output.append(b"%x\r\n%b\r\n" % (len(event), event))
         self._output.append(b"0\r\n\r\n")
-        if rng.random() < self._entry.simulation.broken_share:
+        if simulation.crashes_target(self._entry, headers):
+            self._output[rng.randint(0, 2) :] = [CRASH]
+        elif rng.random() < simulation.broken_share:
             del self._output[rng.randint(1, len(self._output) - 1) :]
 
 
@@ -278,6 +287,7 @@
     """Caller of one stream: its events by attempt, and what became of each attempt."""
 
     name: str
+    headers: dict[str, str] = field(default_factory=dict)
     events: list[tuple[int, str]] = field(default_factory=list)
     first_attempt: str = ""
     is_complete: bool = False
@@ -288,6 +298,16 @@
         return {version for _, version in self.events}
 
 
+@dataclass(frozen=True, kw_only=True)
+class Attempt:
+    """Attempt of a caller that began at a gateway in touch, and what became of it."""
+
+    caller: Caller
+    at_s: float
+    is_resumed: bool
+    has_event: bool
+
+
 @dataclass(kw_only=True)
 class Outcome:
     """Outcomes of one simulation.
@@ -297,6 +317,7 @@
     """
 
     callers: list[Caller] = field(default_factory=list)
+    attempts: list[Attempt] = field(default_factory=list)
     new: int = 0
     begun: int = 0
     resumed: int = 0
@@ -406,7 +427,7 @@
 
     async def _call(self, name: str) -> None:
         """Call until the stream is complete, and take it up again where it broke."""
-        caller = Caller(name=name)
+        caller = Caller(name=name, headers=self.caller_headers(name))
         self.result.callers.append(caller)
         give_up_s = trio.current_time() + CALLER_TIME_S
         for number in range(MAX_ATTEMPTS):
@@ -431,12 +452,22 @@
             not is_resumed or len(self.ready_targets(version)) > 1
         )
         event_count = len(caller.events)
+        started_s = trio.current_time()
         response = CallerResponse(caller=caller, entry=entry, attempt_id=attempt_id)
         assert entry.nursery is not None
         entry.nursery.start_soon(response.serve, left_s)
         await response.wait(gives_up_after=self._draw_cut())
         is_counted = is_counted and entry.is_in_touch
         has_event = len(caller.events) > event_count
+        if is_counted:
+            self.result.attempts.append(
+                Attempt(
+                    caller=caller,
+                    at_s=started_s,
+                    is_resumed=is_resumed,
+                    has_event=has_event,
+                )
+            )
         if is_counted and is_resumed:
             self.result.resumed += 1
             self.result.went_on += has_event
@@ -451,8 +482,27 @@
             return self.rng.randint(1, EVENT_COUNT - 1)
         return EVENT_COUNT + 1
 
+    def caller_headers(self, name: str) -> dict[str, str]:
+        """Return additional headers of the requests of a caller."""
+        return {}
+
     # Disturbances
 
+    def crashes_target(self, entry: Entry, headers: dict[str, str]) -> bool:
+        """Return True if a request that reached a target crashes it."""
+        return False
+
+    def crash_soon(self, target: Target) -> None:
+        """End a target at once that a request crashed, and start another one."""
+        assert self.nursery is not None
+        if target.is_alive:
+            target.is_alive = False
+            self.nursery.start_soon(self._replace, target)
+
+    async def _replace(self, target: Target) -> None:
+        await self.crash(target)
+        self.add_targets(target.version, 1)
+
     async def restart(self, entry: Entry, *, down_s: float = 1.0) -> None:
         """Kill a gateway and start it again."""
         assert self.nursery is not None
@@ -521,6 +571,7 @@
             "pistachiohaven-credential": "key-1",
             "pistachiohaven-deadline-ms": str(int(left_s * 1_000)),
             "content-length": "2",
+            **caller.headers,
         }
         if caller.events:
             headers["last-event-id"] = str(caller.events[-1][0])
