Let requests wait for the first message of a peer after a start

Requests with a part that crashes targets were still sent by gateways that had just started: each forgets what it knew, and callers reach it before its peers do.

Cause: a gateway served before it knew what its peers know. Requests with shared parts now wait for the first message of a peer, until 400 ms after the start at most; a gateway usually has its first configuration after about 300 ms. A gateway without peers does not wait.

--- a/pistachiohaven/components/gateway/_crashes.py
+++ b/pistachiohaven/components/gateway/_crashes.py
@@ -18,10 +18,11 @@
     Quarantine,
     TargetCrash,
 )
+from pistachiohaven.const import MS_PER_S
 from pistachiohaven.helpers import Clock, ComponentLogger
 
 from ._connections import ConnectionPool
-from .const import MAX_ASKED_PEERS, MAX_PEERS_ASKED_ALL
+from .const import MAX_ASKED_PEERS, MAX_PEERS_ASKED_ALL, START_WAIT_MS
 
 REFUSED = "ConnectError"
 
@@ -76,12 +77,23 @@
         self._exchange = exchange
         self._clock = clock
         self._log = log
+        self._started_ms = clock.now_ms()
+        self._has_heard = trio.Event()
         self._send: Callable[[bytes, str], None] | None = None
 
     def connect(self, send: Callable[[bytes, str], None]) -> None:
         """Set the function that sends a datagram to an address without waiting."""
         self._send = send
 
+    async def wait_for_peers(self) -> None:
+        """Wait for the first message of a peer, shortly after the start only."""
+        age_ms = self._clock.now_ms() - self._started_ms
+        is_alone = self._exchange.entry_count() == 1
+        if age_ms >= START_WAIT_MS or is_alone or self._has_heard.is_set():
+            return
+        with trio.move_on_after((START_WAIT_MS - age_ms) / MS_PER_S):
+            await self._has_heard.wait()
+
     def record_crash(
         self, parts: tuple[int, ...], *, target: int, is_repeat: bool
     ) -> None:
@@ -119,6 +131,7 @@
 
     def apply(self, reports: tuple[PartCrashReport, ...], *, peer: str) -> None:
         """Apply what a peer passed on."""
+        self._has_heard.set()
         now_ms = self._clock.now_ms()
         for report in reports:
             begun = self._quarantine.apply_report(
--- a/pistachiohaven/components/gateway/_request.py
+++ b/pistachiohaven/components/gateway/_request.py
@@ -123,6 +123,8 @@
                 Reason.VERSION_UNKNOWN, ORIGIN_RETRY_AFTER_MS
             )
             return
+        if self._call.part_hashes:
+            await self._state.crash_link.wait_for_peers()
         while True:
             if await self._refuse_quarantined():
                 return
--- a/pistachiohaven/components/gateway/const.py
+++ b/pistachiohaven/components/gateway/const.py
@@ -150,6 +150,12 @@
 A gateway that knows it may start to reply, and a version may be the only one later.
 """
 
+START_WAIT_MS: Final = 400
+"""Time after the start in which requests wait for the first message of a peer.
+
+Peers know which parts of prompts crash targets. A gateway starts in about 300 ms.
+"""
+
 MAX_REFUSED_BODY_BYTES: Final = 262_144
 """Bytes of a body that are read before its request is refused on arrival.
 
--- a/tests/components/gateway/test_crashing_part.py
+++ b/tests/components/gateway/test_crashing_part.py
@@ -144,3 +144,14 @@
     before = simulation.begun_share(0.0, CRASHING_FROM_S)
     after = simulation.begun_share(from_s, float(LENGTH_S))
     assert after >= MIN_BEGUN_RATIO * before
+
+
+def test_starting_entries_send_no_crashing_requests() -> None:
+    """They sent one each before the first message of a peer.
+
+    The bound for entries in touch is kept by all of them here.
+    """
+    crashed_at_s = simulate_crashes(12, 5).crashed_at_s
+    bound_from_s = crashed_at_s[:CRASHES_BEFORE_BOUND][-1] + IN_TOUCH_S
+    later = [at_s for at_s in crashed_at_s if at_s > bound_from_s]
+    assert len(later) <= MAX_LATER_REQUESTS
