Forget crashes that are long ago

Parts with crashes were kept and passed on in every digest for ever, up to 613 bytes. A crash older than the eight that are kept counted as a change whenever a peer reported it.

Parts are forgotten an hour after their last change, the longest quarantine, and digests pass them on for ten minutes or while they are in quarantine.

--- a/pistachiohaven/components/exchange/_messages.py
+++ b/pistachiohaven/components/exchange/_messages.py
@@ -78,12 +78,12 @@
 class PartCrashReport(msgspec.Struct, array_like=True, frozen=True, kw_only=True):
     """Crashes during requests with one part in their prompts.
 
-    `part` is the hash of its id. `responded_age_ms` is the age of the newest response
+    `part` is the hash of its id. `proven_age_ms` is the age of the newest response
     that proves the part to be sound, None if none is known.
     """
 
     part: int
-    responded_age_ms: int | None
+    proven_age_ms: int | None
     crashes: tuple[CrashReport, ...]
 
 
--- a/pistachiohaven/components/gateway/_crashes.py
+++ b/pistachiohaven/components/gateway/_crashes.py
@@ -168,7 +168,7 @@
     """Return the form of `report` in messages."""
     return PartCrashReport(
         part=report.part,
-        responded_age_ms=report.responded_age_ms,
+        proven_age_ms=report.proven_age_ms,
         crashes=tuple(
             CrashReport(
                 target=crash.target, age_ms=crash.age_ms, is_repeat=crash.is_repeat
@@ -182,7 +182,7 @@
     """Return the report in a message."""
     return PartReport(
         part=report.part,
-        responded_age_ms=report.responded_age_ms,
+        proven_age_ms=report.proven_age_ms,
         crashes=tuple(
             TargetCrash(
                 target=crash.target, age_ms=crash.age_ms, is_repeat=crash.is_repeat
--- a/pistachiohaven/components/quarantine/_core.py
+++ b/pistachiohaven/components/quarantine/_core.py
@@ -15,6 +15,7 @@
     MIN_CRASHES_OF_PROVEN,
     PROOF_TTL_MS,
     QUARANTINE_MS,
+    REPORT_AGE_MS,
     SEPARATE_AFTER_MS,
 )
 
@@ -36,12 +37,12 @@
 class PartReport:
     """What is known of one part, to be passed on to peers.
 
-    `part` is its hash. `responded_age_ms` is the age of the newest response that proves
+    `part` is its hash. `proven_age_ms` is the age of the newest response that proves
     it to be sound, None if none is known.
     """
 
     part: int
-    responded_age_ms: int | None
+    proven_age_ms: int | None
     crashes: tuple[TargetCrash, ...]
 
 
@@ -178,8 +179,8 @@
         self, report: PartReport, *, peer: str, now_ms: int
     ) -> list[Quarantine]:
         """Record what `peer` passed on; return a quarantine that begins."""
-        if report.responded_age_ms is not None:
-            proven_ms = now_ms - max(report.responded_age_ms, 0)
+        if report.proven_age_ms is not None:
+            proven_ms = now_ms - max(report.proven_age_ms, 0)
             self._add_proof(report.part, proven_ms, now_ms=now_ms)
         begun: list[Quarantine] = []
         for reported in report.crashes[:MAX_CRASHES]:
@@ -201,7 +202,7 @@
         proven_ms = self._proven_ms.get(part)
         return PartReport(
             part=part,
-            responded_age_ms=None if proven_ms is None else now_ms - proven_ms,
+            proven_age_ms=None if proven_ms is None else now_ms - proven_ms,
             crashes=tuple(
                 TargetCrash(
                     target=target,
@@ -218,10 +219,12 @@
         At most `MAX_REPORTS`: parts with most crashes first, then those that changed
         last.
         """
+        max_age_ms = CHANGE_REPORT_MS if changed_only else REPORT_AGE_MS
         parts = [
             part
             for part, known in self._parts.items()
-            if not changed_only or now_ms - known.changed_ms < CHANGE_REPORT_MS
+            if now_ms - known.changed_ms < max_age_ms
+            or (not changed_only and self.find([part], now_ms=now_ms) is not None)
         ]
         parts.sort(key=self._retention_order, reverse=True)
         return [self.report(part, now_ms=now_ms) for part in parts[:MAX_REPORTS]]
@@ -236,7 +239,7 @@
         known = self._parts.get(part)
         if known is None:
             known = self._parts[part] = _Part(changed_ms=now_ms)
-            self._drop_surplus(part)
+            self._forget(keep=part, now_ms=now_ms)
         if target in known.crashes:
             return None
         if crash.at_ms <= self._proven_ms.get(part, crash.at_ms - 1):
@@ -245,6 +248,8 @@
         if len(known.crashes) > MAX_CRASHES:
             oldest = min(known.crashes, key=lambda each: known.crashes[each].at_ms)
             del known.crashes[oldest]
+            if oldest == target:
+                return None
         known.changed_ms = now_ms
         quarantine = self._quarantine(part, known)
         if quarantine is None or known.was_quarantined:
@@ -317,12 +322,14 @@
         known = self._parts[part]
         return _count_separate(known), known.changed_ms
 
-    def _drop_surplus(self, added: int) -> None:
-        """Forget one part other than `added` beyond `MAX_PARTS`."""
-        if len(self._parts) <= MAX_PARTS:
-            return
-        others = (part for part in self._parts if part != added)
-        del self._parts[min(others, key=self._retention_order)]
+    def _forget(self, *, keep: int, now_ms: int) -> None:
+        """Forget old parts, and one beyond `MAX_PARTS`, but not `keep`."""
+        for part, known in list(self._parts.items()):
+            if now_ms - known.changed_ms >= MAX_QUARANTINE_MS:
+                del self._parts[part]
+        if len(self._parts) > MAX_PARTS:
+            others = (part for part in self._parts if part != keep)
+            del self._parts[min(others, key=self._retention_order)]
 
 
 def _count_separate(known: _Part) -> int:
--- a/pistachiohaven/components/quarantine/const.py
+++ b/pistachiohaven/components/quarantine/const.py
@@ -46,5 +46,8 @@
 MAX_REPORTS: Final = 16
 """Parts in one message to a peer; each takes up to 20 bytes and 15 a crash."""
 
+REPORT_AGE_MS: Final = 600_000
+"""Time after a change in which digests pass a part on that is not in quarantine."""
+
 CHANGE_REPORT_MS: Final = 5_000
 """Time for which a change is part of each update to the peers."""
--- a/tests/components/quarantine/test_core.py
+++ b/tests/components/quarantine/test_core.py
@@ -9,11 +9,13 @@
     MAX_CRASHES,
     MAX_PARTS,
     MAX_PROVEN_PARTS,
+    MAX_QUARANTINE_MS,
     MAX_REPORTS,
     MIN_CRASHES,
     MIN_CRASHES_OF_PROVEN,
     PROOF_TTL_MS,
     QUARANTINE_MS,
+    REPORT_AGE_MS,
     SEPARATE_AFTER_MS,
 )
 
@@ -126,7 +128,7 @@
     for peer in range(MIN_CRASHES):
         report = PartReport(
             part=PART,
-            responded_age_ms=None,
+            proven_age_ms=None,
             crashes=(TargetCrash(target=1, age_ms=peer * 1_000, is_repeat=False),),
         )
         quarantine.apply_report(report, peer=str(peer), now_ms=10_000)
@@ -164,3 +166,13 @@
             [PART], target=10**6 + number, is_repeat=False, now_ms=now_ms + number
         )
     assert len(quarantine.report(PART, now_ms=now_ms).crashes) == MAX_CRASHES
+
+
+def test_old_crashes_are_forgotten() -> None:
+    quarantine = PartQuarantine()
+    last_ms = crash(quarantine, count=MIN_CRASHES - 1)
+    now_ms = last_ms + REPORT_AGE_MS
+    assert quarantine.reports(changed_only=False, now_ms=now_ms) == []
+    now_ms = last_ms + MAX_QUARANTINE_MS
+    quarantine.record_crash([SHARED], target=1, is_repeat=False, now_ms=now_ms)
+    assert len(quarantine) == 1
