--- a/tests/components/notice/test_core.py
+++ b/tests/components/notice/test_core.py
@@ -1,5 +1,8 @@
 """Tests of the notices that targets leave or pause, on a virtual clock."""
 
+import msgspec
+import pytest
+
 from pistachiohaven.components.exchange import (
     Digest,
     LeavingTargetReport,
@@ -106,17 +109,20 @@
     )
 
 
-def test_datagrams_of_processes_without_the_field_are_decoded() -> None:
-    """The last field is cut off; a list of up to 15 items has its length in a byte."""
+@pytest.mark.parametrize("missing", [1, 2])
+def test_datagrams_of_processes_without_the_last_fields_are_decoded(
+    missing: int,
+) -> None:
+    """The last fields, which are empty, are cut off."""
     for message in (make_update(), make_digest()):
         encoded = encode_datagram(message)
-        assert encoded[-1:] == b"\x90"
-        assert decode_datagram(shorten(encoded)).ok_value == message
+        assert encoded[-missing:] == b"\x90" * missing
+        assert decode_datagram(shorten(encoded, missing)).ok_value == message
 
 
-def shorten(encoded: bytes) -> bytes:
-    """Return an encoded array without its last item, an empty array."""
-    return bytes([encoded[0] - 1]) + encoded[1:-1]
+def shorten(encoded: bytes, count: int) -> bytes:
+    """Return an encoded array without its last `count` items."""
+    return msgspec.msgpack.encode(msgspec.msgpack.decode(encoded)[:-count])
 
 
 def test_notice_takes_at_most_eleven_bytes() -> None:
