Do not pass on crashes that say nothing yet

Not proved to be the cause, but found on the way: after each crash of a target all parts of its requests were passed on, up to 16 for 5 s, which makes an update of 187 bytes three times as long; 22 gateways send about as much as the bound of 7 KB/s allows, so that peers would have heard of each other's load and quota use less often.

Parts that two more crashes would not put in quarantine are no longer passed on, which are the proven ones, and updates hold at most four parts for 2 s.

--- a/pistachiohaven/components/quarantine/_core.py
+++ b/pistachiohaven/components/quarantine/_core.py
@@ -6,6 +6,7 @@
 
 from .const import (
     CHANGE_REPORT_MS,
+    MAX_CHANGE_REPORTS,
     MAX_CRASHES,
     MAX_PARTS,
     MAX_PROVEN_PARTS,
@@ -216,18 +217,23 @@
     def reports(self, *, changed_only: bool, now_ms: int) -> list[PartReport]:
         """Return what is known of all parts, or only of those that changed lately.
 
-        At most `MAX_REPORTS`: parts with most crashes first, then those that changed
-        last.
+        At most `MAX_REPORTS` or `MAX_CHANGE_REPORTS`: parts with most crashes first,
+        then those that changed last. Proven parts with few crashes, which are in each
+        crash, are left out.
         """
         max_age_ms = CHANGE_REPORT_MS if changed_only else REPORT_AGE_MS
+        max_parts = MAX_CHANGE_REPORTS if changed_only else MAX_REPORTS
         parts = [
             part
             for part, known in self._parts.items()
-            if now_ms - known.changed_ms < max_age_ms
-            or (not changed_only and self.find([part], now_ms=now_ms) is not None)
+            if self._min_crashes(part, known) - _count_separate(known) < MIN_CRASHES
+            and (
+                now_ms - known.changed_ms < max_age_ms
+                or (not changed_only and self.find([part], now_ms=now_ms) is not None)
+            )
         ]
         parts.sort(key=self._retention_order, reverse=True)
-        return [self.report(part, now_ms=now_ms) for part in parts[:MAX_REPORTS]]
+        return [self.report(part, now_ms=now_ms) for part in parts[:max_parts]]
 
     def _add_crash(
         self, part: int, target: int, crash: _Crash, *, now_ms: int
--- a/pistachiohaven/components/quarantine/const.py
+++ b/pistachiohaven/components/quarantine/const.py
@@ -44,10 +44,16 @@
 """Parts of one request that are recorded, the first ones."""
 
 MAX_REPORTS: Final = 16
-"""Parts in one message to a peer; each takes up to 20 bytes and 15 a crash."""
+"""Parts in one digest to a peer; each takes up to 20 bytes and 15 a crash."""
+
+MAX_CHANGE_REPORTS: Final = 4
+"""Parts in one update, which is short so that many can be sent."""
 
 REPORT_AGE_MS: Final = 600_000
 """Time after a change in which digests pass a part on that is not in quarantine."""
 
-CHANGE_REPORT_MS: Final = 5_000
-"""Time for which a change is part of each update to the peers."""
+CHANGE_REPORT_MS: Final = 2_000
+"""Time for which a change is part of each update to the peers.
+
+Three times the interval at which each of 20 entries sends to all of its peers.
+"""
--- a/tests/components/quarantine/test_core.py
+++ b/tests/components/quarantine/test_core.py
@@ -176,3 +176,12 @@
     now_ms = last_ms + MAX_QUARANTINE_MS
     quarantine.record_crash([SHARED], target=1, is_repeat=False, now_ms=now_ms)
     assert len(quarantine) == 1
+
+
+def test_ordinary_crash_adds_nothing_to_messages() -> None:
+    """Longer messages are sent less often, and peers know less of each other's load."""
+    quarantine = PartQuarantine()
+    quarantine.record_proof(range(10), now_ms=0)
+    quarantine.record_crash(range(10), target=1, is_repeat=False, now_ms=1_000)
+    for changed_only in (False, True):
+        assert quarantine.reports(changed_only=changed_only, now_ms=1_000) == []
