Log the fields of the quota with each placement and refusal

Cause: of a request over its quota, the lines had the age of the oldest report, and those of placed requests nothing, so that it could not be seen which gateway charged how much, and what it believed of the others.

Change: placed and refused lines have the organisation, its tokens and what the gateway knows and assumes of the others' usage (QuotaView).

--- a/pistachiohaven/components/gateway/_request.py
+++ b/pistachiohaven/components/gateway/_request.py
@@ -491,8 +491,33 @@
             config_version=self._call.config_version,
             revision=state.catalogue.revision,
             store_age_ms=state.store_response_age_ms(),
+            **self._quota_fields(),
         )
 
+    def _quota_fields(self) -> dict[str, object]:
+        """Return the log fields of the organisation's quota, as known here now."""
+        organisation = self._call.organisation
+        if organisation is None:
+            return {}
+        now_ms = self._state.clock.now_ms()
+        view = self._state.quota.view(organisation.name, now_ms=now_ms)
+        if view is None:
+            return {"organisation": organisation.name}
+        return {
+            "organisation": organisation.name,
+            "tokens": self._call.quota_tokens,
+            "tokens_left": int(view.available_tokens),
+            "limit_tokens": int(view.limit_tokens),
+            "own_tokens": int(view.own_tokens),
+            "peer_tokens": int(view.peer_tokens),
+            "unreported_tokens": int(view.unreported_tokens),
+            "silent_tokens": int(view.silent_tokens),
+            "stale_peers": view.stale_peers,
+            "unknown_peers": view.unknown_peers,
+            "is_history_known": view.is_history_known,
+            "peers_heard_ms": self._state.quota.oldest_report_age_ms(now_ms=now_ms),
+        }
+
     def _log_over_quota(self, wait_ms: int) -> None:
         organisation = self._call.organisation
         assert organisation is not None
@@ -500,17 +525,10 @@
             "refused",
             request_id=self._call.head.attempt_id,
             reason=Reason.OVER_QUOTA,
-            organisation=organisation.name,
-            tokens=self._call.quota_tokens,
-            tokens_left=self._state.quota.remaining_tokens(
-                organisation.name, now_ms=self._state.clock.now_ms()
-            ),
             tokens_per_s=organisation.tokens_per_s,
-            peers_heard_ms=self._state.quota.oldest_report_age_ms(
-                now_ms=self._state.clock.now_ms()
-            ),
             retry_after_ms=wait_ms,
             config_version=self._call.config_version,
+            **self._quota_fields(),
         )
 
     def _log_refusal(self, refusal: Refusal) -> None:
--- a/pistachiohaven/components/quota/__init__.py
+++ b/pistachiohaven/components/quota/__init__.py
@@ -1,5 +1,5 @@
 """Token quotas of organisations across all entries."""
 
-from ._core import QuotaLedger, QuotaTolerance
+from ._core import QuotaLedger, QuotaTolerance, QuotaView
 
-__all__ = ["QuotaLedger", "QuotaTolerance"]
+__all__ = ["QuotaLedger", "QuotaTolerance", "QuotaView"]
--- a/pistachiohaven/components/quota/_core.py
+++ b/pistachiohaven/components/quota/_core.py
@@ -77,6 +77,39 @@
     is_leaving: bool = False
 
 
+@dataclass(frozen=True, slots=True, kw_only=True)
+class QuotaView:
+    """What an entry knows and assumes of the tokens of one organisation.
+
+    All fields in tokens are of the current window. `limit_tokens` is the current limit
+    of all entries together, `own_tokens` the usage of this entry, `peer_tokens` the
+    reported usage of the others, `unreported_tokens` the estimate of what live peers
+    used since, and `silent_tokens` the share of the `stale_peers` and of the
+    `unknown_peers` that have not reported yet. `is_history_known` is False while the
+    usage before the start of this entry is unknown.
+    """
+
+    limit_tokens: float
+    own_tokens: float
+    peer_tokens: float
+    unreported_tokens: float
+    silent_tokens: float
+    stale_peers: int
+    unknown_peers: int
+    is_history_known: bool
+
+    @property
+    def available_tokens(self) -> float:
+        """Return the tokens that this entry may still use, negative if overdrawn."""
+        return (
+            self.limit_tokens
+            - self.own_tokens
+            - self.peer_tokens
+            - self.unreported_tokens
+            - self.silent_tokens
+        )
+
+
 class QuotaLedger:
     """Usage within a sliding window that limits organisations across all entries.
 
@@ -176,10 +209,26 @@
 
     def remaining_tokens(self, organisation: str, *, now_ms: int) -> int | None:
         """Return the tokens that may be used now, None without a limit."""
+        view = self.view(organisation, now_ms=now_ms)
+        return None if view is None else int(view.available_tokens)
+
+    def view(self, organisation: str, *, now_ms: int) -> QuotaView | None:
+        """Return what this entry knows of an organisation, None without a limit."""
         account = self._accounts.get(organisation)
         if account is None:
             return None
-        return int(self._available_tokens(organisation, account, now_ms=now_ms))
+        return QuotaView(
+            limit_tokens=self._current_limit_tokens(account, now_ms=now_ms),
+            own_tokens=account.own.total_tokens(now_ms=now_ms),
+            peer_tokens=account.peers.total_tokens(now_ms=now_ms),
+            unreported_tokens=self._unreported_tokens(account, now_ms=now_ms),
+            silent_tokens=self._silent_tokens(organisation, account, now_ms=now_ms),
+            stale_peers=sum(
+                peer.stale_share_tokens is not None for peer in self._peers.values()
+            ),
+            unknown_peers=self._unknown_peers(now_ms=now_ms),
+            is_history_known=self._is_history_known,
+        )
 
     def oldest_report_age_ms(self, *, now_ms: int) -> int:
         """Return the age in milliseconds of the oldest of the peers' last reports."""
