--- a/pistachiohaven/components/gateway/_request.py
+++ b/pistachiohaven/components/gateway/_request.py
@@ -26,6 +26,7 @@
     Dispatch,
     FailedDispatch,
 )
+from ._quota import charge_quota
 from ._response import ResponseWriter
 from ._state import GatewayState
 from .const import (
@@ -89,12 +90,12 @@
         Raises IncompleteResponseError if a started response can't be completed.
         """
         call = self._call
-        now_ms = self._state.clock.now_ms()
-        wait_ms = self._charge_quota(now_ms=now_ms)
+        wait_ms = await self._charge_quota()
         if wait_ms is not None:
             self._log_over_quota(wait_ms)
             await self._send_refusal(TOO_MANY_REQUESTS, Reason.OVER_QUOTA, wait_ms)
             return
+        now_ms = self._state.clock.now_ms()
         deadline_ms = call.deadline_ms - DEADLINE_MARGIN_MS
         if self._state.drain_end_ms is not None:
             deadline_ms = min(deadline_ms, self._state.drain_end_ms)
@@ -438,14 +439,12 @@
 
     # Quota
 
-    def _charge_quota(self, *, now_ms: int) -> int | None:
+    async def _charge_quota(self) -> int | None:
         """Charge the organisation; return the time to wait if it is over quota."""
         organisation = self._call.organisation
         if organisation is None:
             return None
-        wait_ms = self._state.quota.charge(
-            organisation.name, self._call.quota_tokens, now_ms=now_ms
-        )
+        wait_ms = await charge_quota(self._state, organisation, self._call.quota_tokens)
         self._is_quota_charged = wait_ms is None
         return wait_ms
 
--- a/tests/components/gateway/version_simulation.py
+++ b/tests/components/gateway/version_simulation.py
@@ -233,7 +233,7 @@
                 for other in self.simulation.entries[:3]
                 if other is not self
             ),
-            retry_extra=1e9,
+            **self.simulation.settings,
         )
         self.running.set()
         self.disturbed_s = trio.current_time()
@@ -341,6 +341,7 @@
         self.result = Outcome()
         self.datagram_bytes = 0
         self.loss_share = 0.01
+        self.settings: dict[str, Any] = {"retry_extra": 1e9}
         self.nursery: trio.Nursery | None = None
         self.entries: list[Entry] = []
         for number in range(1, entries + 1):
