Let gateways use more of a quota after a start, and measure rates of use over what is reported

By log lines most refusals in the two seconds after the start were by each gateway's even share, while the sum of all had tokens left; a large organisation was then bound by the sum.

Change: the even share binds only until rates of use are known from reports. The burst allowance gives its part of the excess to the start: 0.375 of it instead of 0.25, with the same sum over two starts. The rate of use is measured over two intervals between reports and corrected for what is not reported yet: at 68 gateways most of the newest usage was missing in it.

--- a/pistachiohaven/components/quota/_core.py
+++ b/pistachiohaven/components/quota/_core.py
@@ -11,14 +11,15 @@
 from ._window import UsageWindow, burst_tokens, expiry_ms
 from .const import (
     BASE_RATE_SHARE,
-    BURST_SHARE,
     LEAVING_PEER_EXPIRY_MS,
     MAX_RETRY_AFTER_MS,
     MAX_STALE_WINDOW_SHARE,
     MIN_PEER_STALE_MS,
+    MIN_RATE_SPAN_MS,
     MIN_RETRY_AFTER_MS,
     OVERDRAFT_SHARE,
     PEER_EXPIRY_MS,
+    RATE_SPAN_INTERVALS,
     REPORT_INTERVAL_EWMA_WEIGHT,
     STALE_INTERVALS,
     START_SHARE,
@@ -72,12 +73,6 @@
             now_ms=now_ms
         )
 
-    def known_tokens_per_ms(self, *, now_ms: int) -> float:
-        """Return the current rate of use of all entries, as known."""
-        return self.own.tokens_per_ms(now_ms=now_ms) + self.peers.tokens_per_ms(
-            now_ms=now_ms
-        )
-
     def known_burst_tokens(self, *, now_ms: int) -> float:
         """Return the known usage of all entries beyond the base rate."""
         return burst_tokens((self.own, self.peers), self.base_per_ms, now_ms=now_ms)
@@ -183,7 +178,7 @@
             account.overdraft_tokens = OVERDRAFT_SHARE * excess_tokens
             account.burst_tokens = (
                 1 - BASE_RATE_SHARE
-            ) * limit_tokens + BURST_SHARE * excess_tokens
+            ) * limit_tokens + account.overdraft_tokens
             account.base_per_ms = BASE_RATE_SHARE * limit_tokens / self._window_ms
             account.start_tokens = START_SHARE * excess_tokens
             self._accounts[each.name] = account
@@ -370,7 +365,9 @@
         age_ms = min(now_ms - state.last_report_ms, self._stale_after_ms)
         entries = self._entry_count(now_ms=now_ms) + 1
         for account in self._accounts.values():
-            tokens = account.known_tokens_per_ms(now_ms=now_ms) / entries * age_ms
+            tokens = (
+                self._known_tokens_per_ms(account, now_ms=now_ms) / entries * age_ms
+            )
             account.peers.add(tokens, start_ms=state.last_report_ms, end_ms=now_ms)
 
     def _new_account(self, now_ms: int) -> _Account:
@@ -406,11 +403,14 @@
 
         The share is an even one of what peers do not know to be used. If it is less
         than a request, it is the probability with which the entry may use a whole one.
+        It binds until the entries' rates of use are known from their reports.
         """
-        if not self._is_start_phase(now_ms=now_ms):
+        uptime_ms = now_ms - self._started_ms
+        is_rate_known = uptime_ms >= START_WAIT_MS + self._stale_after_ms
+        if not self._is_start_phase(now_ms=now_ms) or is_rate_known:
             return True
         span_ms = self._report_interval_ms.get(self._window_ms)
-        own_tokens = account.own.recent_tokens(span_ms=span_ms, now_ms=now_ms)
+        own_tokens = account.own.recent_use(span_ms=span_ms, now_ms=now_ms).tokens
         share_tokens = (view.available_tokens + own_tokens) / self._entry_count(
             now_ms=now_ms
         )
@@ -428,9 +428,23 @@
         ]
         if not ages_ms:
             return 0.0
-        tokens_per_ms = account.known_tokens_per_ms(now_ms=now_ms)
+        tokens_per_ms = self._known_tokens_per_ms(account, now_ms=now_ms)
         return tokens_per_ms / (len(ages_ms) + 1) * sum(ages_ms)
 
+    def _known_tokens_per_ms(self, account: _Account, *, now_ms: int) -> float:
+        """Return the current rate of use of all entries.
+
+        The usage known of a span of time lacks what peers used since their last
+        reports, half an interval on average.
+        """
+        interval_ms = self._report_interval_ms.get(0.0)
+        span_ms = max(RATE_SPAN_INTERVALS * interval_ms, MIN_RATE_SPAN_MS)
+        own = account.own.recent_use(span_ms=span_ms, now_ms=now_ms)
+        peers = account.peers.recent_use(span_ms=span_ms, now_ms=now_ms)
+        return own.tokens / own.span_ms + peers.tokens / (
+            peers.span_ms - interval_ms / 2
+        )
+
     def _silent_tokens(
         self, organisation: str, account: _Account, *, now_ms: int
     ) -> float:
--- a/pistachiohaven/components/quota/_window.py
+++ b/pistachiohaven/components/quota/_window.py
@@ -2,10 +2,19 @@
 
 from array import array
 from collections.abc import Iterable
+from dataclasses import dataclass
 
 from .const import WINDOW_BUCKETS
 
 
+@dataclass(frozen=True, slots=True, kw_only=True)
+class RecentUse:
+    """Tokens that were used within the last `span_ms` milliseconds."""
+
+    tokens: float
+    span_ms: float
+
+
 class UsageWindow:
     """Sum of the tokens used within the last `window_ms` milliseconds.
 
@@ -56,21 +65,19 @@
             if tokens <= 0:
                 return
 
-    def recent_tokens(self, *, span_ms: float, now_ms: int) -> float:
-        """Return the tokens of the buckets that overlap with the last `span_ms`."""
+    def recent_use(self, *, span_ms: float, now_ms: int) -> RecentUse:
+        """Return the use in the buckets that overlap with the last `span_ms`."""
         self._expire(now_ms=now_ms)
         first = max(
             int(now_ms - span_ms) // self._bucket_ms, self._newest - WINDOW_BUCKETS
         )
         numbers = range(first, self._newest + 1)
-        return sum(self._buckets[number % len(self._buckets)] for number in numbers)
-
-    def tokens_per_ms(self, *, now_ms: int) -> float:
-        """Return the current rate of use, over two to three buckets."""
-        self._expire(now_ms=now_ms)
-        numbers = range(self._newest - 2, self._newest + 1)
-        tokens = sum(self._buckets[number % len(self._buckets)] for number in numbers)
-        return tokens / (now_ms - (self._newest - 2) * self._bucket_ms + 1)
+        return RecentUse(
+            tokens=sum(
+                self._buckets[number % len(self._buckets)] for number in numbers
+            ),
+            span_ms=now_ms - first * self._bucket_ms + 1,
+        )
 
     def oldest_buckets(self, *, now_ms: int) -> list[tuple[int, float]]:
         """Return the time until each bucket expires and its tokens, oldest first."""
--- a/pistachiohaven/components/quota/const.py
+++ b/pistachiohaven/components/quota/const.py
@@ -15,6 +15,13 @@
 The larger one is a share of the window.
 """
 
+MIN_RATE_SPAN_MS: Final = 500
+RATE_SPAN_INTERVALS: Final = 2
+"""Time over which the rate of use is measured: the longer of both.
+
+The second one is in usual intervals between a peer's reports.
+"""
+
 REPORT_INTERVAL_EWMA_WEIGHT: Final = 0.02
 """Weight of the newest interval between two reports of a peer."""
 
@@ -33,13 +40,12 @@
 BASE_RATE_SHARE: Final = 0.5
 """Share of its limit that an organisation may use evenly over the window at any time.
 
-It may use the rest, and `BURST_SHARE` of the tolerated excess, all at once. So what it
-used before a start leaves room for this rate after the start.
+It may use the rest, and the overdraft, at once. So what it used before a start leaves
+room for this rate after the start.
 """
 
 OVERDRAFT_SHARE: Final = 0.1
-START_SHARE: Final = 0.25
-BURST_SHARE: Final = 0.25
+START_SHARE: Final = 0.375
 """Shares of the tolerated excess.
 
 An organisation may use `OVERDRAFT_SHARE` beyond its limit while all peers report, and
