--- a/pistachiohaven/components/quota/_core.py
+++ b/pistachiohaven/components/quota/_core.py
@@ -75,7 +75,7 @@
 
     def known_burst_tokens(self, *, now_ms: int) -> float:
         """Return the known usage of all entries beyond the base rate."""
-        return burst_tokens((self.own, self.peers), self.base_per_ms, now_ms=now_ms)
+        return burst_tokens(self.own, self.peers, self.base_per_ms, now_ms=now_ms)
 
 
 @dataclass(slots=True, kw_only=True)
--- a/pistachiohaven/components/quota/_window.py
+++ b/pistachiohaven/components/quota/_window.py
@@ -30,6 +30,11 @@
         self._newest = now_ms // self._bucket_ms
         self._total_tokens = 0.0
 
+    @property
+    def bucket_ms(self) -> int:
+        """Return the length of a bucket in milliseconds."""
+        return self._bucket_ms
+
     def total_tokens(self, *, now_ms: int) -> float:
         """Return the tokens used within the window."""
         self._expire(now_ms=now_ms)
@@ -91,17 +96,12 @@
             for number in numbers
         ]
 
-    def newest_buckets(self, *, now_ms: int) -> list[tuple[int, float]]:
-        """Return the time since each bucket began and its tokens, newest first."""
+    def newest_buckets(self, *, now_ms: int) -> tuple[int, "array[float]"]:
+        """Return the time since the newest bucket began, and all, newest first."""
         self._expire(now_ms=now_ms)
-        numbers = range(self._newest, self._newest - len(self._buckets), -1)
-        return [
-            (
-                now_ms - number * self._bucket_ms,
-                self._buckets[number % len(self._buckets)],
-            )
-            for number in numbers
-        ]
+        index = self._newest % len(self._buckets)
+        age_ms = now_ms - self._newest * self._bucket_ms
+        return age_ms, self._buckets[index::-1] + self._buckets[:index:-1]
 
     def _expire(self, *, now_ms: int) -> None:
         """Remove the buckets that have left the window."""
@@ -131,16 +131,23 @@
 
 
 def burst_tokens(
-    windows: Iterable[UsageWindow], base_tokens_per_ms: float, *, now_ms: int
+    first: UsageWindow,
+    second: UsageWindow,
+    base_tokens_per_ms: float,
+    *,
+    now_ms: int,
 ) -> float:
-    """Return the tokens that `windows` have used beyond the base rate.
+    """Return the tokens that two windows of one length have used beyond the base rate.
 
     It is the largest excess over all spans of time that end now.
     """
-    buckets = [window.newest_buckets(now_ms=now_ms) for window in windows]
+    age_ms, first_buckets = first.newest_buckets(now_ms=now_ms)
+    _, second_buckets = second.newest_buckets(now_ms=now_ms)
+    base_tokens = base_tokens_per_ms * age_ms
+    base_tokens_per_bucket = base_tokens_per_ms * first.bucket_ms
     used_tokens = excess_tokens = 0.0
-    for parts in zip(*buckets, strict=True):
-        age_ms = parts[0][0]
-        used_tokens += sum(tokens for _, tokens in parts)
-        excess_tokens = max(excess_tokens, used_tokens - base_tokens_per_ms * age_ms)
+    for first_tokens, second_tokens in zip(first_buckets, second_buckets, strict=True):
+        used_tokens += first_tokens + second_tokens
+        excess_tokens = max(excess_tokens, used_tokens - base_tokens)
+        base_tokens += base_tokens_per_bucket
     return excess_tokens
