--- a/pistachiohaven/components/quota/_core.py
+++ b/pistachiohaven/components/quota/_core.py
@@ -1,14 +1,14 @@
 """Token quotas of organisations, shared by all entries."""
 
 import random
-from dataclasses import dataclass, field
 
 from pistachiohaven.components.exchange import short_hash
 from pistachiohaven.components.fleet import Organisation
 from pistachiohaven.const import MS_PER_S
 from pistachiohaven.helpers import Ewma
 
-from ._window import UsageWindow, burst_tokens, expiry_ms
+from ._models import Account, Peer, QuotaTolerance, QuotaView
+from ._window import UsageWindow, expiry_ms
 from .const import (
     BASE_RATE_SHARE,
     LEAVING_PEER_EXPIRY_MS,
@@ -30,104 +30,6 @@
 )
 
 
-@dataclass(frozen=True, slots=True, kw_only=True)
-class QuotaTolerance:
-    """Excess over its limit that operators tolerate for an organisation.
-
-    The limit of an organisation is its burst and `window_s` seconds of its rate, within
-    any `window_s` seconds. The excess is `overage` (a share of the limit) and `tokens`.
-    """
-
-    window_s: float = 8.0
-    overage: float = 0.0
-    tokens: float = 0.0
-
-
-@dataclass(slots=True, kw_only=True)
-class _Account:
-    """Limit and usage of one organisation.
-
-    Within the window, all entries together may use `limit_tokens`, and also
-    `overdraft_tokens` while all peers report. Of these, they may use `burst_tokens` at
-    once, and the rest at a rate of `base_per_ms`. While the usage before the start is
-    unknown, they may use `start_tokens` and the base rate. `used_tokens` counts the
-    tokens charged by this entry since its start.
-
-    `rounding` is a random share of the next request: with more entries than the tokens
-    left have requests, it decides which entries may use them.
-    """
-
-    limit_tokens: float = 0.0
-    overdraft_tokens: float = 0.0
-    burst_tokens: float = 0.0
-    base_per_ms: float = 0.0
-    start_tokens: float = 0.0
-    own: UsageWindow
-    peers: UsageWindow
-    used_tokens: int = 0
-    rounding: float = 0.0
-
-    def known_tokens(self, *, now_ms: int) -> float:
-        """Return the known usage of all entries within the window."""
-        return self.own.total_tokens(now_ms=now_ms) + self.peers.total_tokens(
-            now_ms=now_ms
-        )
-
-    def known_burst_tokens(self, *, now_ms: int) -> float:
-        """Return the known usage of all entries beyond the base rate."""
-        return burst_tokens(self.own, self.peers, self.base_per_ms, now_ms=now_ms)
-
-
-@dataclass(slots=True, kw_only=True)
-class _Peer:
-    """Last report of a peer.
-
-    `used_tokens` is its usage since its start, by hash of the organisation's name. For
-    a stale peer, `stale_share_tokens` holds its share of the tokens that were left when
-    it became stale, by name of the organisation, for those charged since; it is None
-    for other peers. `is_leaving` is True if the peer said that it ends.
-    """
-
-    last_report_ms: int
-    used_tokens: dict[int, int] = field(default_factory=dict)
-    stale_share_tokens: dict[str, float] | None = None
-    is_leaving: bool = False
-
-
-@dataclass(frozen=True, slots=True, kw_only=True)
-class QuotaView:
-    """What an entry knows and assumes of the tokens of one organisation.
-
-    All fields in tokens are of the current window. `limit_tokens` is the current limit
-    of all entries together, `burst_left_tokens` what they may use at once, `own_tokens`
-    the usage of this entry, `peer_tokens` the reported usage of the others,
-    `unreported_tokens` the estimate of what live peers used since, and `silent_tokens`
-    the share of the `stale_peers` and of the `unknown_peers` that have not reported
-    yet. `is_history_known` is False while the usage before the start of this entry is
-    unknown.
-    """
-
-    limit_tokens: float
-    burst_left_tokens: float
-    own_tokens: float
-    peer_tokens: float
-    unreported_tokens: float
-    silent_tokens: float
-    stale_peers: int
-    unknown_peers: int
-    is_history_known: bool
-
-    @property
-    def available_tokens(self) -> float:
-        """Return the tokens that this entry may still use, negative if overdrawn."""
-        window_left_tokens = self.limit_tokens - self.own_tokens - self.peer_tokens
-        return (
-            min(window_left_tokens, self.burst_left_tokens)
-            - self.unreported_tokens
-            - self.silent_tokens
-        )
-
-
 class QuotaLedger:
     """Usage within a sliding window that limits organisations across all entries.
 
@@ -153,9 +55,9 @@
         self._started_ms = now_ms
         self._is_history_known = False
         self._expected_peers = 0
-        self._accounts: dict[str, _Account] = {}
+        self._accounts: dict[str, Account] = {}
         self._names_by_hash: dict[int, str] = {}
-        self._peers: dict[str, _Peer] = {}
+        self._peers: dict[str, Peer] = {}
         self._report_interval_ms = Ewma(weight=REPORT_INTERVAL_EWMA_WEIGHT)
 
     def configure(
@@ -247,7 +149,7 @@
             return None
         return self._view(organisation, account, now_ms=now_ms)
 
-    def _view(self, organisation: str, account: _Account, *, now_ms: int) -> QuotaView:
+    def _view(self, organisation: str, account: Account, *, now_ms: int) -> QuotaView:
         return QuotaView(
             burst_left_tokens=account.burst_tokens
             - account.known_burst_tokens(now_ms=now_ms),
@@ -306,7 +208,7 @@
         self._update_peers(now_ms=now_ms)
         state = self._peers.get(peer)
         if state is None:
-            state = self._peers[peer] = _Peer(last_report_ms=now_ms - uptime_ms)
+            state = self._peers[peer] = Peer(last_report_ms=now_ms - uptime_ms)
             if self._is_history_known and uptime_ms > now_ms - self._started_ms:
                 state.used_tokens = dict(used)
         else:
@@ -370,8 +272,8 @@
             )
             account.peers.add(tokens, start_ms=state.last_report_ms, end_ms=now_ms)
 
-    def _new_account(self, now_ms: int) -> _Account:
-        return _Account(
+    def _new_account(self, now_ms: int) -> Account:
+        return Account(
             own=UsageWindow(window_ms=self._window_ms, now_ms=now_ms),
             peers=UsageWindow(window_ms=self._window_ms, now_ms=now_ms),
         )
@@ -387,7 +289,7 @@
         uptime_ms = now_ms - self._started_ms
         return not self._is_history_known and uptime_ms < self._window_ms
 
-    def _current_limit_tokens(self, account: _Account, *, now_ms: int) -> float:
+    def _current_limit_tokens(self, account: Account, *, now_ms: int) -> float:
         """Return the limit, less in the first window if earlier usage is unknown."""
         if self._is_start_phase(now_ms=now_ms):
             base_tokens = account.base_per_ms * (now_ms - self._started_ms)
@@ -397,7 +299,7 @@
         return account.limit_tokens + account.overdraft_tokens
 
     def _is_within_start_share(
-        self, account: _Account, view: QuotaView, tokens: float, *, now_ms: int
+        self, account: Account, view: QuotaView, tokens: float, *, now_ms: int
     ) -> bool:
         """Return True unless the entry would use more than its share after a start.
 
@@ -416,7 +318,7 @@
         )
         return own_tokens + account.rounding * tokens <= share_tokens
 
-    def _unreported_tokens(self, account: _Account, *, now_ms: int) -> float:
+    def _unreported_tokens(self, account: Account, *, now_ms: int) -> float:
         """Return the estimated usage of live peers since their last reports.
 
         Each is expected to use as much as the mean of all entries uses now.
@@ -431,7 +333,7 @@
         tokens_per_ms = self._known_tokens_per_ms(account, now_ms=now_ms)
         return tokens_per_ms / (len(ages_ms) + 1) * sum(ages_ms)
 
-    def _known_tokens_per_ms(self, account: _Account, *, now_ms: int) -> float:
+    def _known_tokens_per_ms(self, account: Account, *, now_ms: int) -> float:
         """Return the current rate of use of all entries.
 
         The usage known of a span of time lacks what peers used since their last
@@ -446,7 +348,7 @@
         )
 
     def _silent_tokens(
-        self, organisation: str, account: _Account, *, now_ms: int
+        self, organisation: str, account: Account, *, now_ms: int
     ) -> float:
         """Return the assumed usage of the entries that do not report.
 
@@ -469,7 +371,7 @@
         return total_tokens + limit_tokens * entry_share * unknown_peers
 
     def _time_until_free_ms(
-        self, account: _Account, view: QuotaView, tokens: float, *, now_ms: int
+        self, account: Account, view: QuotaView, tokens: float, *, now_ms: int
     ) -> int:
         """Return the time until `tokens` fit if no others are used until then.
 
@@ -528,7 +430,7 @@
                 peer.stale_share_tokens = {}
 
     def _assign_stale_shares(
-        self, organisation: str, account: _Account, *, now_ms: int
+        self, organisation: str, account: Account, *, now_ms: int
     ) -> None:
         """Assign an even share of the tokens left now to the peers newly stale."""
         new_shares = [
