Add a failing test of large requests at a quota, and a test of changed limits

Change: a test of the ledger, known red; a test that a lowered and a raised limit are in force a window later, with 5 and 22 gateways (passed).

--- a/tests/components/gateway/test_quota_of_many_entries.py
+++ b/tests/components/gateway/test_quota_of_many_entries.py
@@ -6,6 +6,7 @@
 """
 
 import functools
+import json
 from collections.abc import Awaitable, Callable
 from typing import Any
 
@@ -46,24 +47,32 @@
             "quota_tolerance_tokens": TOLERANCE,
         }
         self.tokens_per_s = 0.0
+        self.version = 1
         self.admitted: list[tuple[float, int]] = []
         self.refused: list[tuple[float, int]] = []
         self.add_targets("v1", TARGETS)
 
-    def _config(self) -> dict[str, Any]:
+    def _config(self, *, limit_share: float = 1.0, version: int = 1) -> dict[str, Any]:
         return {
             **super()._config(),
+            "version": version,
             "tenants": [
                 {
                     "name": "org",
                     "apiKeys": ["key-1"],
                     "uncachedTokens": 10,
-                    "ratePerS": RATE,
-                    "burst": BURST,
+                    "ratePerS": limit_share * RATE,
+                    "burst": limit_share * BURST,
                 }
             ],
         }
 
+    def set_limit(self, limit_share: float) -> None:
+        """Publish a configuration with a share of the limit."""
+        self.version += 1
+        config = self._config(limit_share=limit_share, version=self.version)
+        self._put_record("op/config", json.dumps(config).encode())
+
     async def run(self, play: Callable[[Simulation], Any]) -> Outcome:
         """Play with a load of `tokens_per_s`."""
 
@@ -229,3 +238,29 @@
     simulation = simulate_quota(1, stay_below_the_limit, entries=entries)
     requests = len(simulation.admitted) + len(simulation.refused)
     assert len(simulation.refused) <= requests / 100
+
+
+async def lower_and_raise_the_limit(simulation: QuotaSimulation) -> None:
+    """Lower the limit of a hot organisation to a quarter, and raise it again."""
+    await trio.sleep(9)
+    simulation.tokens_per_s = HOT_TOKENS_PER_S
+    await trio.sleep(10)
+    simulation.set_limit(0.25)
+    await trio.sleep(3 * WINDOW_S + 1)
+    simulation.set_limit(1.0)
+    await trio.sleep(2 * WINDOW_S)
+
+
+@pytest.mark.parametrize("entries", [5, 22])
+def test_changed_limit_is_in_force_a_window_later(entries: int) -> None:
+    simulation = simulate_quota(1, lower_and_raise_the_limit, entries=entries)
+    lower_limit = 0.25 * LIMIT
+    lower_bound = lower_limit * (1 + OVERAGE) + TOLERANCE
+    lowered_s, raised_s, end_s = 20.0, 45.0, 61.0
+    for start_s in (lowered_s + 1, raised_s - 2 * WINDOW_S, raised_s - WINDOW_S):
+        admitted_tokens = simulation.admitted_tokens(start_s, start_s + WINDOW_S)
+        assert admitted_tokens <= lower_bound
+    steady_tokens = simulation.admitted_tokens(raised_s - 2 * WINDOW_S, raised_s)
+    assert steady_tokens >= 0.9 * 2 * lower_limit
+    assert simulation.admitted_tokens(end_s - WINDOW_S, end_s) >= 0.9 * LIMIT
+    assert simulation.max_window_tokens() <= BOUND
--- a/tests/components/quota/test_core.py
+++ b/tests/components/quota/test_core.py
@@ -346,3 +346,20 @@
         report_usage(ledgers, step=step, now_ms=now_ms, interval_ms=interval_ms)
     refused = sum(waited_ms is not None for waited_ms in charges)
     assert refused <= len(charges) / 200
+
+
+@pytest.mark.known_red
+def test_large_requests_are_served_as_often_as_others() -> None:
+    """An organisation at its limit asks for requests of very different sizes."""
+    ledger = make_ledger()
+    rng = random.Random(1)
+    served: list[tuple[int, bool]] = []
+    for now_ms in range(0, 120_000, 40):
+        tokens = int(2_000 + rng.lognormvariate(6.5, 1.0))
+        is_served = ledger.charge("org", tokens, now_ms=now_ms) is None
+        served.append((tokens, is_served))
+    served.sort()
+    largest = served[-len(served) // 10 :]
+    served_share = sum(is_served for _, is_served in served) / len(served)
+    largest_share = sum(is_served for _, is_served in largest) / len(largest)
+    assert largest_share >= 0.75 * served_share
