Charge a large request at a quota when a usual one would fit

Change: a request needs as many tokens as the organisation's usual one, and may overdraw what is left by a twentieth of the tolerated excess at most.

Measured: the test passes (failed before).

--- a/pistachiohaven/components/quota/_core.py
+++ b/pistachiohaven/components/quota/_core.py
@@ -12,6 +12,7 @@
 from .const import (
     BASE_RATE_SHARE,
     LEAVING_PEER_EXPIRY_MS,
+    MAX_DEBT_SHARE,
     MAX_RETRY_AFTER_MS,
     MAX_STALE_WINDOW_SHARE,
     MIN_PEER_STALE_MS,
@@ -83,6 +84,7 @@
             ) * limit_tokens + account.overdraft_tokens
             account.base_per_ms = BASE_RATE_SHARE * limit_tokens / self._window_ms
             account.start_tokens = START_SHARE * excess_tokens
+            account.debt_tokens = MAX_DEBT_SHARE * excess_tokens
             self._accounts[each.name] = account
         self._names_by_hash = {short_hash(name): name for name in self._accounts}
 
@@ -90,7 +92,9 @@
         """Charge `tokens` and return None, or return the time until they would fit.
 
         The time is in milliseconds, at most `MAX_RETRY_AFTER_MS`; nothing is charged
-        then. An organisation without a limit is never charged.
+        then. An organisation without a limit is never charged. A request larger than
+        usual needs only as many tokens as a usual one, up to a maximum of debt: else
+        only small ones would be served at the limit.
         """
         account = self._accounts.get(organisation)
         if account is None:
@@ -98,7 +102,13 @@
         self._update_peers(now_ms=now_ms)
         self._assign_stale_shares(organisation, account, now_ms=now_ms)
         view = self._view(organisation, account, now_ms=now_ms)
-        wanted_tokens = min(float(tokens), account.limit_tokens, account.burst_tokens)
+        account.usual_tokens.add(tokens)
+        wanted_tokens = min(
+            max(account.usual_tokens.get(0.0), tokens - account.debt_tokens),
+            float(tokens),
+            account.limit_tokens,
+            account.burst_tokens,
+        )
         if view.available_tokens < wanted_tokens or not self._is_within_start_share(
             account, view, wanted_tokens, now_ms=now_ms
         ):
--- a/pistachiohaven/components/quota/_models.py
+++ b/pistachiohaven/components/quota/_models.py
@@ -2,7 +2,10 @@
 
 from dataclasses import dataclass, field
 
+from pistachiohaven.helpers import Ewma
+
 from ._window import UsageWindow, burst_tokens
+from .const import USUAL_TOKENS_EWMA_WEIGHT
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
@@ -28,6 +31,9 @@
     unknown, they may use `start_tokens` and the base rate. `used_tokens` counts the
     tokens charged by this entry since its start.
 
+    `usual_tokens` is the mean of the requests that were asked for; one of any size may
+    overdraw what is left by `debt_tokens`.
+
     `rounding` is a random share of the next request: with more entries than the tokens
     left have requests, it decides which entries may use them.
     """
@@ -37,10 +43,14 @@
     burst_tokens: float = 0.0
     base_per_ms: float = 0.0
     start_tokens: float = 0.0
+    debt_tokens: float = 0.0
     own: UsageWindow
     peers: UsageWindow
     used_tokens: int = 0
     rounding: float = 0.0
+    usual_tokens: Ewma = field(
+        default_factory=lambda: Ewma(weight=USUAL_TOKENS_EWMA_WEIGHT)
+    )
 
     def known_tokens(self, *, now_ms: int) -> float:
         """Return the known usage of all entries within the window."""
--- a/pistachiohaven/components/quota/const.py
+++ b/pistachiohaven/components/quota/const.py
@@ -57,6 +57,12 @@
 START_WAIT_MS: Final = 1_200
 """Longest time after a start for which requests wait until the peers have reported."""
 
+MAX_DEBT_SHARE: Final = 0.05
+"""Share of the tolerated excess by which one request may overdraw what is left."""
+
+USUAL_TOKENS_EWMA_WEIGHT: Final = 0.05
+"""Weight of the newest request in the usual size of a request."""
+
 START_UNKNOWN_SHARE: Final = 0.1
 """Share of the expected peers that need not have reported before; some may be down."""
 
--- a/tests/components/quota/test_core.py
+++ b/tests/components/quota/test_core.py
@@ -348,7 +348,6 @@
     assert refused <= len(charges) / 200
 
 
-@pytest.mark.known_red
 def test_large_requests_are_served_as_often_as_others() -> None:
     """An organisation at its limit asks for requests of very different sizes."""
     ledger = make_ledger()
