Add the sender of an update only if it is unknown, and skip port 0

The source address of each message was added to the known gateways, also of known ones; where a message does not come from the address that its sender names, that would count one gateway twice.

Change: only senders of updates that can't be told by their hash are added, which are asked for a digest at that address anyway. An address with port 0 is skipped. Tests of the encoding, of unreadable addresses and of their expiry.

--- a/pistachiohaven/components/exchange/_messages.py
+++ b/pistachiohaven/components/exchange/_messages.py
@@ -219,10 +219,10 @@
 
 def decode_address(data: bytes) -> str | None:
     """Return the address that `encode_address` encoded, None if it can't be read."""
-    host, port = data[:-PORT_BYTES], data[-PORT_BYTES:]
-    if len(host) not in IP_BYTES:
+    host, port = data[:-PORT_BYTES], int.from_bytes(data[-PORT_BYTES:])
+    if len(host) not in IP_BYTES or not port:
         return None
-    return f"{ipaddress.ip_address(host)}:{int.from_bytes(port)}"
+    return f"{ipaddress.ip_address(host)}:{port}"
 
 
 def encode_datagram(message: Datagram) -> bytes:
--- a/pistachiohaven/components/gateway/_peers.py
+++ b/pistachiohaven/components/gateway/_peers.py
@@ -277,7 +277,7 @@
     def _(self, message: Digest, address: str) -> None:
         state = self._state
         now_ms = state.clock.now_ms()
-        self._add_addresses(message, address, now_ms=now_ms)
+        self._add_named(message, now_ms=now_ms)
         events = state.exchange.handle_digest(message, now_ms=now_ms)
         for incarnation in events.ended_incarnations:
             state.quota.drop_peer(incarnation, now_ms=now_ms)
@@ -317,9 +317,11 @@
     def _(self, message: Update, address: str) -> None:
         state = self._state
         now_ms = state.clock.now_ms()
-        self._add_addresses(message, address, now_ms=now_ms)
+        self._add_named(message, now_ms=now_ms)
         events = state.exchange.handle_update(message, now_ms=now_ms)
         peer = events.peer
+        if peer is None:
+            state.exchange.add_addresses([address], now_ms=now_ms)
         if peer is None or not state.quota.has_reported(peer.incarnation):
             if len(self._digest_request_addresses) < FAN_OUT:
                 self._digest_request_addresses.add(address)
@@ -342,15 +344,14 @@
                 )
         self._apply_common(message, events)
 
-    def _add_addresses(
-        self, message: Digest | Update, sender: str, *, now_ms: int
-    ) -> None:
-        """Add the sender and the entries that it named to the known ones."""
+    def _add_named(self, message: Digest | Update, *, now_ms: int) -> None:
+        """Add the entries that a message names to the known ones."""
         named = (
             decode_address(each) for each in message.addresses[:ADDRESSES_PER_UPDATE]
         )
-        addresses = [sender, *(each for each in named if each is not None)]
-        self._state.exchange.add_addresses(addresses, now_ms=now_ms)
+        self._state.exchange.add_addresses(
+            [each for each in named if each is not None], now_ms=now_ms
+        )
 
     def _apply_common(
         self, message: Digest | Update, events: PeerEvents, *, uptime_ms: int = 0
--- a/tests/components/exchange/test_core.py
+++ b/tests/components/exchange/test_core.py
@@ -13,7 +13,9 @@
     Member,
     TargetReport,
     Update,
+    decode_address,
     decode_datagram,
+    encode_address,
     encode_datagram,
     hash_names,
     short_hash,
@@ -294,3 +296,23 @@
     assert has_history[0]
     assert len(has_history) > 1
     assert not any(has_history[2:])
+
+
+def test_addresses_are_unchanged_by_encoding_and_decoding() -> None:
+    for address in ("10.1.0.25:7600", "127.0.0.1:65535", "fd00::1:7600"):
+        assert decode_address(encode_address(address)) == address
+
+
+def test_unreadable_addresses_are_skipped() -> None:
+    for data in (b"", b"\x01", b"\x01\x02\x03", bytes(4) + b"\x00\x00", bytes(40)):
+        assert decode_address(data) is None
+
+
+def test_named_addresses_are_sent_to_and_expire_unless_they_are_heard_of() -> None:
+    exchange = make_exchange("10.0.0.1:7600")
+    exchange.add_addresses(["10.0.0.9:7600", "10.0.0.0:7600"], now_ms=0)
+    assert "10.0.0.9:7600" in exchange.entry_addresses()
+    recipients = exchange.select_recipients(now_ms=0)
+    assert "10.0.0.9:7600" in {each.peer.member.address for each in recipients}
+    exchange.select_recipients(now_ms=PEER_EXPIRY_MS + 1_000)
+    assert "10.0.0.9:7600" not in {each.member.address for each in exchange.peers()}
