Decode the terms of cold targets, regions and homes

Cause: the platform publishes how many requests a cold target tolerates, how long it stays cold, and the home regions of routes and organisations; nothing read them. No decision uses them yet. Measured: nothing; two tests of the adapter, and tests/platform passes.

--- a/pistachiohaven/components/fleet/_models.py
+++ b/pistachiohaven/components/fleet/_models.py
@@ -31,7 +31,7 @@
     Rank 0 is the most urgent. `max_targets` limits the targets that may run a request.
     A stream that is resumable may continue at another target. `first_byte_target_ms`
     and `event_gap_target_ms` are the target times until the first byte and between two
-    events.
+    events. If `home_regions` is not empty, only targets in these regions are used.
     """
 
     name: str
@@ -46,6 +46,7 @@
     is_public: bool
     is_resumable: bool
     splits: tuple[Split, ...]
+    home_regions: frozenset[str] = frozenset()
 
     @property
     def is_repeatable(self) -> bool:
@@ -61,7 +62,9 @@
 
     `is_engine` is True for engines that generate tokens and False for plain services.
     `cache_tokens` is the size of an engine's KV cache, and `event_tokens` the
-    number of tokens per event of a stream.
+    number of tokens per event of a stream. A target is cold for `cold_start_ms` after
+    its start, and then tolerates `cold_requests_per_s` from all entries together; 0
+    means that its targets are never cold.
     """
 
     name: str
@@ -69,6 +72,8 @@
     connection_limit: int
     cache_tokens: int
     event_tokens: int
+    cold_start_ms: int = 0
+    cold_requests_per_s: float = 0.0
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
@@ -77,7 +82,8 @@
 
     `keys` are its API keys. If `rank` is set, its requests are ordered by it first, and
     by the rank of their route second. A request without token counts is charged
-    `default_tokens`.
+    `default_tokens`. `home_regions` is as in a route; where both have some, a target
+    must be in a region that both name.
     """
 
     name: str
@@ -86,6 +92,7 @@
     tokens_per_s: float
     burst_tokens: float
     default_tokens: int
+    home_regions: frozenset[str] = frozenset()
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
@@ -107,6 +114,7 @@
 
     `slots` is the number of requests it runs concurrently; `started_ms` is Unix time.
     `version` is that of its software, empty if unknown; versions have no order.
+    `cold_remaining_ms` is how long it stays cold from when it published the entry.
     """
 
     name: str
@@ -117,6 +125,7 @@
     leaving: bool
     started_ms: int
     version: str = ""
+    cold_remaining_ms: int = 0
 
     @property
     def incarnation(self) -> str:
--- a/pistachiohaven/config.py
+++ b/pistachiohaven/config.py
@@ -66,7 +66,11 @@
     Retry and quota limits apply to all gateways together. Within `retry_window_s`, they
     allow `retry_ratio` further dispatches per request, and `retry_extra` more. Within
     `quota_window_s`, an organisation may exceed its quota by the share `quota_overage`
-    of it, and by `quota_tolerance_tokens` more.
+    of it, and by `quota_tolerance_tokens` more. In any second, a target that is cold
+    may get `cold_overage` times the requests that it tolerates, and
+    `cold_tolerance_requests` more, from all gateways together.
+
+    `regions` has the region of each data centre.
     """
 
     model_config = ConfigDict(extra="ignore", frozen=True)
@@ -85,6 +89,10 @@
     quota_window_s: float = Field(default=8.0, ge=0.1)
     quota_overage: float = Field(default=0.0, ge=0.0, le=10.0)
     quota_tolerance_tokens: float = Field(default=0.0, ge=0.0)
+    cold_overage: float = Field(default=1.0, ge=1.0, le=10.0)
+    cold_tolerance_requests: float = Field(default=0.0, ge=0.0)
+    region: str = ""
+    regions: dict[str, str] = {}
 
     @property
     def host(self) -> str:
--- a/pistachiohaven/platform/_configuration.py
+++ b/pistachiohaven/platform/_configuration.py
@@ -14,6 +14,7 @@
     Route,
     Split,
 )
+from pistachiohaven.const import MS_PER_S
 
 
 class ConfigurationError(StrEnum):
@@ -42,6 +43,7 @@
     public: bool = False
     stream_resumption: bool = False
     itl_target_ms: int = 0
+    allowed_regions: list[str] = []
 
     def to_route(self) -> Route:
         """Return the route as a type of this project.
@@ -69,6 +71,7 @@
             is_public=self.public,
             is_resumable=self.stream_resumption,
             splits=splits,
+            home_regions=frozenset(self.allowed_regions),
         )
 
 
@@ -87,6 +90,8 @@
 class _Service(msgspec.Struct, kw_only=True, rename="camel"):
     name: str
     connection_limit: int = 0
+    cold_start_s: float = 0.0
+    cold_per_s: float = 0.0
     engine: _Engine | None = None
 
     def to_pool(self) -> Pool:
@@ -97,6 +102,8 @@
             connection_limit=self.connection_limit,
             cache_tokens=self.engine.kv_cache_tokens if self.engine else 0,
             event_tokens=max(self.engine.stride, 1) if self.engine else 1,
+            cold_start_ms=int(self.cold_start_s * MS_PER_S),
+            cold_requests_per_s=max(self.cold_per_s, 0.0),
         )
 
 
@@ -114,6 +121,7 @@
     uncached_tokens: int = 0
     rate_per_s: float = 0.0
     burst: float = 0.0
+    allowed_regions: list[str] = []
 
     def to_organisation(self) -> Organisation:
         """Return the organisation as a type of this project.
@@ -127,6 +135,7 @@
             tokens_per_s=self.rate_per_s,
             burst_tokens=self.burst,
             default_tokens=self.uncached_tokens,
+            home_regions=frozenset(self.allowed_regions),
         )
 
 
--- a/pistachiohaven/platform/_targets.py
+++ b/pistachiohaven/platform/_targets.py
@@ -1,5 +1,6 @@
 """Decoding of the store entries with which targets register."""
 
+import math
 from enum import StrEnum
 
 import msgspec
@@ -32,6 +33,7 @@
     version: str = ""
     slots: int = DEFAULT_SLOTS
     born: int = 0
+    cold_remaining_ms: float = 0.0
 
 
 _LEAVING_BY_STATE = {"ready": False, "draining": True}
@@ -63,6 +65,7 @@
             slots=max(entry.slots, 1),
             leaving=leaving,
             started_ms=entry.born,
+            cold_remaining_ms=max(math.ceil(entry.cold_remaining_ms), 0),
         )
     )
 
--- a/tests/platform/test_published.py
+++ b/tests/platform/test_published.py
@@ -135,3 +135,31 @@
     for fields, version in (({}, ""), ({"version": "v1.2"}, "v1.2")):
         value = json.dumps({**ENTRY, **fields}).encode()
         assert decode_target("servers/i-1", value).unwrap().version == version
+
+
+def test_terms_of_cold_targets_are_decoded() -> None:
+    service = {"name": "p", "coldStartS": 3.0, "coldPerS": 14.0, "engine": {"slots": 9}}
+    decoded = decode_configuration(
+        json.dumps({**CONFIG, "services": [service]}).encode()
+    )
+    assert isinstance(decoded, Ok)
+    pool = decoded.ok_value.pools["p"]
+    assert (pool.cold_start_ms, pool.cold_requests_per_s) == (3_000, 14.0)
+
+    target = decode_target(
+        "servers/i-1", json.dumps({**ENTRY, "coldRemainingMs": 1_200.5}).encode()
+    )
+    assert isinstance(target, Ok)
+    assert target.ok_value.cold_remaining_ms == 1_201
+
+
+def test_home_regions_of_routes_and_organisations_are_decoded() -> None:
+    config = {
+        **CONFIG,
+        "routes": [{**ROUTE, "allowedRegions": ["north"]}],
+        "tenants": [{"name": "org", "allowedRegions": ["north", "south"]}],
+    }
+    decoded = decode_configuration(json.dumps(config).encode())
+    assert isinstance(decoded, Ok)
+    assert decoded.ok_value.routes[0].home_regions == {"north"}
+    assert decoded.ok_value.organisations[0].home_regions == {"north", "south"}
