Refuse requests that reached no target with 503, and let peers confirm the configuration

Change: a dispatch counts from when its request begins to be sent. A response to /published has the age at which the peer's records were complete, counted from the question; a gateway whose records were complete over 1 s ago asks its peers in turn.

--- a/pistachiohaven/components/gateway/_request.py
+++ b/pistachiohaven/components/gateway/_request.py
@@ -248,7 +248,11 @@
         if not self._sent_count:
             budget.record_request(now_ms=state.clock.now_ms())
         self._possible_runs += 1
-        result = await dispatch.run()
+        try:
+            result = await dispatch.run()
+        finally:
+            if not dispatch.is_sent:
+                self._possible_runs -= 1
         state.placer.schedule_waiting()
         if dispatch.is_sent:
             self._sent_count += 1
@@ -256,7 +260,7 @@
             await self._record_parts(dispatch, result, load)
         outcome = result.failure if isinstance(result, FailedDispatch) else "answered"
         state.metrics.dispatches.labels(self._call.pool_name, outcome).inc()
-        if isinstance(result, FailedDispatch) and result.failure in _NOT_RUN_FAILURES:
+        if isinstance(result, FailedDispatch) and result.failure is Failure.NEVER_RAN:
             self._possible_runs -= 1
         return result
 
--- a/pistachiohaven/components/gateway/_state.py
+++ b/pistachiohaven/components/gateway/_state.py
@@ -174,6 +174,22 @@
             return None
         return self.clock.now_ms() - self.complete_until_ms
 
+    def confirm_complete_until(self, until_ms: int, *, source: str) -> None:
+        """Record that all changes confirmed before `until_ms` are applied.
+
+        `source` is the name of the peer that says so, for the logs.
+        """
+        if self.complete_until_ms is None or until_ms <= self.complete_until_ms:
+            return
+        self.log.info(
+            "config_confirmed",
+            peer=source,
+            age_ms=self.clock.now_ms() - until_ms,
+            before_ms=self.config_age_ms(),
+            revision=self.catalogue.revision,
+        )
+        self.complete_until_ms = until_ms
+
     def _is_target_list_current(self) -> bool:
         """Return True if the store responds and no live peer knows newer changes."""
         age_ms = self.store_response_age_ms()
--- a/pistachiohaven/components/gateway/_store_watch.py
+++ b/pistachiohaven/components/gateway/_store_watch.py
@@ -13,6 +13,9 @@
 
 from ._state import GatewayState
 from .const import (
+    CONFIG_CONFIRM_AFTER_MS,
+    CONFIRMATION_PAUSE_MS,
+    MAX_CONFIRMATION_CALLS,
     PEER_AHEAD_MS,
     PEER_READ_TIMEOUT_MS,
     STORE_CHECK_INTERVAL_MS,
@@ -41,12 +44,15 @@
 class PeerStoreResponse(msgspec.Struct, array_like=True, frozen=True, kw_only=True):
     """Changes up to `revision`, or with `is_full` all records.
 
-    Keys that a full response lacks have been deleted.
+    Keys that a full response lacks have been deleted. All changes that the store had
+    confirmed `complete_age_ms` before the response are applied at the sender; None if
+    it doesn't know.
     """
 
     is_full: bool = msgspec.field(name="whole")
     revision: int
     changes: tuple[PeerStoreRecord, ...]
+    complete_age_ms: int | None = None
 
 
 def encode_store_response(state: GatewayState, *, after: int) -> bytes:
@@ -65,6 +71,7 @@
             PeerStoreRecord(key=item.key, value=item.value, revision=item.revision)
             for item in changes
         ),
+        complete_age_ms=state.config_age_ms(),
     )
     return msgspec.msgpack.encode(response)
 
@@ -84,6 +91,9 @@
         self._last_check_ms: int | None = None
         self._peer_revision = 0
         self._peer_ahead_since_ms = 0
+        self._next_confirmation_ms = 0
+        self._unconfirmed_calls = 0
+        self._peers_to_ask: list[str] = []
 
     async def run(self) -> None:
         """Read the store in full, then watch it; runs until cancelled."""
@@ -109,14 +119,47 @@
         """Read newer records from a peer while the store does not respond.
 
         Also until a first configuration is active, and if a peer stays ahead: the watch
-        may have lost its connection. Runs until cancelled.
+        may have lost its connection. A peer whose records are not newer is asked
+        whether they are complete. Runs until cancelled.
         """
         while True:
             await trio.sleep(STORE_RETRY_DELAY_MS / MS_PER_S)
-            peer = self._select_peer()
+            peer = self._select_peer() or self._select_confirming_peer()
             if peer is not None:
                 await self._load_from_peer(peer)
 
+    def _select_confirming_peer(self) -> Peer | None:
+        """Return the peer to ask whether the configuration is the newest, or None.
+
+        Each time another one is asked, since what a peer knows is as old as its watch.
+        If none can tell, as when the store is down, they are asked less often.
+        """
+        state = self._state
+        now_ms = state.clock.now_ms()
+        age_ms = state.config_age_ms()
+        if age_ms is None or age_ms < CONFIG_CONFIRM_AFTER_MS:
+            self._unconfirmed_calls = 0
+            return None
+        if now_ms < self._next_confirmation_ms:
+            return None
+        peers = {
+            peer.control_address: peer
+            for peer in state.exchange.live_peers(now_ms=now_ms)
+            if peer.control_address and not peer.leaving
+        }
+        if not peers:
+            return None
+        self._unconfirmed_calls += 1
+        if self._unconfirmed_calls > MAX_CONFIRMATION_CALLS:
+            self._next_confirmation_ms = now_ms + CONFIRMATION_PAUSE_MS
+        addresses = [address for address in self._peers_to_ask if address in peers]
+        if not addresses:
+            addresses = list(peers)
+            state.rng.shuffle(addresses)
+        address = addresses.pop()
+        self._peers_to_ask = addresses
+        return peers[address]
+
     def _select_peer(self) -> Peer | None:
         """Return the peer to read from now, or None."""
         state = self._state
@@ -276,6 +319,7 @@
     async def _load_from_peer(self, peer: Peer) -> None:
         """Read and apply the records of `peer` that are newer than this gateway's."""
         state = self._state
+        sent_ms = state.clock.now_ms()
         http_result = await call(
             self._pool,
             address=peer.control_address,
@@ -297,13 +341,28 @@
                 "peer_answer_unreadable", peer=peer.member.name, error=str(error)
             )
             return
-        apply_peer_response(state, response, peer=peer.member.name)
+        apply_peer_response(state, response, peer=peer.member.name, sent_ms=sent_ms)
 
 
 def apply_peer_response(
+    state: GatewayState, response: PeerStoreResponse, *, peer: str, sent_ms: int
+) -> None:
+    """Apply the records of the gateway named `peer`, which was asked at `sent_ms`.
+
+    What it says of their completeness counts from then on, not from the arrival of the
+    response, which may have been held up.
+    """
+    is_newer = response.revision > state.catalogue.revision
+    if is_newer or response.is_full or response.changes:
+        _apply_peer_records(state, response, peer=peer)
+    if response.complete_age_ms is not None:
+        state.confirm_complete_until(sent_ms - response.complete_age_ms, source=peer)
+
+
+def _apply_peer_records(
     state: GatewayState, response: PeerStoreResponse, *, peer: str
 ) -> None:
-    """Apply the records of the gateway named `peer`."""
+    """Apply the records of a response."""
     changes = [
         StoreRecord(key=item.key, value=item.value, revision=item.revision)
         for item in response.changes
--- a/pistachiohaven/components/gateway/const.py
+++ b/pistachiohaven/components/gateway/const.py
@@ -131,6 +131,22 @@
 A new version must be active within this time after the store has confirmed it.
 """
 
+CONFIG_CONFIRM_AFTER_MS: Final = 1_000
+"""Age of the configuration from which peers are asked whether it is the newest.
+
+Several peers can be asked before `CONFIG_STALE_AFTER_MS`.
+"""
+
+MAX_CONFIRMATION_CALLS: Final = 8
+"""Peers that are asked in a row; if none can tell, no other one soon will.
+
+What a peer knows is `STORE_WATCH_WAIT_MS` old at most, so that of eight peers that the
+store serves one is most likely recent.
+"""
+
+CONFIRMATION_PAUSE_MS: Final = 1_000
+"""Pause between further calls while no peer can tell."""
+
 ORIGIN_COPIES: Final = 4
 """Peers that are told at which version a stream began."""
 
--- a/tests/components/gateway/test_state.py
+++ b/tests/components/gateway/test_state.py
@@ -138,10 +138,10 @@
     restored.catalogue.advance((2 << 40) + 3)
     body = encode_store_response(restored, after=state.catalogue.revision)
     response = msgspec.msgpack.decode(body, type=PeerStoreResponse)
-    apply_peer_response(state, response, peer="peer")
+    apply_peer_response(state, response, peer="peer", sent_ms=0)
     starting = make_state([0.0])
     body = encode_store_response(state, after=starting.catalogue.revision)
     response = msgspec.msgpack.decode(body, type=PeerStoreResponse)
-    apply_peer_response(starting, response, peer="peer")
+    apply_peer_response(starting, response, peer="peer", sent_ms=0)
     assert starting.route_table is not None
     assert starting.route_table.config.version == 7
