Evacuate data centres and bind requests to home regions

Cause: an operator's request to evacuate a data centre was ignored, and so were the home regions of routes and organisations.

Change: the store's evacuations are read in full, watched and passed on by peers. Targets of an evacuated data centre get no request, their capacity does not count, and what waits is admitted anew. A restored store that lacks an evacuation does not end it at once. Jobs use targets in their home regions only.

--- a/pistachiohaven/components/gateway/_app.py
+++ b/pistachiohaven/components/gateway/_app.py
@@ -323,6 +323,16 @@
             "store_age_ms": state.store_response_age_ms(),
             "in_flight": self.in_flight,
             "waiting": state.scheduler.waiting(),
+            "evacuations": [
+                {
+                    "data_centre": evacuation.data_centre,
+                    "revision": evacuation.revision,
+                    "source": evacuation.source,
+                    "age_ms": now_ms - evacuation.learned_ms,
+                    "is_held": evacuation.held_until_ms is not None,
+                }
+                for evacuation in state.evacuations.all()
+            ],
             "peers": [
                 {"name": peer.member.name, "revision": peer.revision}
                 for peer in state.exchange.live_peers(now_ms=now_ms)
--- a/pistachiohaven/components/gateway/_call.py
+++ b/pistachiohaven/components/gateway/_call.py
@@ -84,6 +84,19 @@
             self.route.rank, ROUTE_RANK_COUNT - 1
         )
 
+    @property
+    def regions(self) -> frozenset[str] | None:
+        """Return the regions whose targets may run the request, None if all may.
+
+        If both the route and the organisation have home regions, it is those that both
+        have, possibly none.
+        """
+        homes = [self.route.home_regions]
+        if self.organisation is not None:
+            homes.append(self.organisation.home_regions)
+        binding = [regions for regions in homes if regions]
+        return frozenset.intersection(*binding) if binding else None
+
     @property
     def is_stream_taken_up(self) -> bool:
         """Return True if the caller has events of an earlier attempt."""
@@ -122,6 +135,7 @@
             first_byte_due_ms=self.arrived_ms + self.route.first_byte_target_ms,
             wait_limit_ms=min(self.deadline_ms, self.arrived_ms + self._max_wait_ms()),
             deadline_ms=self.deadline_ms,
+            regions=self.regions,
         )
 
 
--- a/pistachiohaven/components/gateway/_daemon.py
+++ b/pistachiohaven/components/gateway/_daemon.py
@@ -163,6 +163,7 @@
                 )
             )
         state.expire_targets()
+        state.expire_evacuations()
         while state.removed_addresses:
             await pool.close_idle(state.removed_addresses.pop())
         await trio.sleep(SCHEDULER_TICK_MS * 5 / MS_PER_S)
--- a/pistachiohaven/components/gateway/_dispatch.py
+++ b/pistachiohaven/components/gateway/_dispatch.py
@@ -165,7 +165,7 @@
             self._load.record_cancelled(request_id)
             await self._pool.close(connection)
             return FailedDispatch(
-                failure=Failure.NOT_SENT, detail="target leaving or paused"
+                failure=Failure.NOT_SENT, detail="target leaving, paused or evacuated"
             )
         try:
             result = await self._exchange_until_stalled(connection)
--- a/pistachiohaven/components/gateway/_metrics.py
+++ b/pistachiohaven/components/gateway/_metrics.py
@@ -43,6 +43,11 @@
         self.in_flight = Gauge(
             "gateway_in_flight", "Requests being served", registry=self.registry
         )
+        self.evacuated_data_centres = Gauge(
+            "gateway_evacuated_data_centres",
+            "Data centres whose targets get no requests",
+            registry=self.registry,
+        )
         self.config_version = Gauge(
             "gateway_config_version", "Configuration in force", registry=self.registry
         )
--- a/pistachiohaven/components/gateway/_state.py
+++ b/pistachiohaven/components/gateway/_state.py
@@ -1,12 +1,17 @@
 """State of one gateway, and application of changes to it."""
 
 import random
-from collections.abc import Iterable
+from collections.abc import Callable, Iterable
 
 import trio
 from result import Err
 
 from pistachiohaven import platform
+from pistachiohaven.components.evacuation import (
+    EvacuationChange,
+    EvacuationEvent,
+    Evacuations,
+)
 from pistachiohaven.components.exchange import Exchange, short_hash
 from pistachiohaven.components.fleet import (
     Catalogue,
@@ -49,7 +54,8 @@
     `request_scopes` are those of the requests in progress, which end at `drain_end_ms`
     at the latest once the gateway drains.
     `removed_addresses` lists removed and leaving targets whose idle connections are
-    still to be closed.
+    still to be closed. `on_taken_back` is called with the name of each target of a data
+    centre whose evacuation ended: it may be cold.
     """
 
     def __init__(self, *, settings: GatewaySettings, clock: Clock) -> None:
@@ -64,11 +70,15 @@
         self.started_ms = clock.now_ms()
         self.rate_limits = RateLimits(name=settings.exchange_address)
         self.notices = TargetNotices()
+        self.evacuations = Evacuations()
+        self.on_taken_back: Callable[[str], None] = lambda _target: None
         self.scheduler = Scheduler(
             name=self.incarnation,
             started_ms=self.started_ms,
             rate_limits=self.rate_limits,
             notices=self.notices,
+            evacuations=self.evacuations,
+            regions=settings.regions,
         )
         self.placer = Placer(scheduler=self.scheduler, clock=clock)
         self.stall_monitor = StallMonitor(clock=clock)
@@ -92,7 +102,7 @@
             origins=self.origins,
             exchange=self.exchange,
             clock=clock,
-            is_list_current=self._is_target_list_current,
+            is_list_current=self.is_target_list_current,
         )
         self.quarantine = PartQuarantine()
         self.crash_checks = CrashChecks()
@@ -124,6 +134,7 @@
                 "internal_ports": current.internal_ports,
             }
         )
+        self.scheduler.set_regions(settings.regions)
         retry_fields = ("retry_ratio", "retry_extra", "retry_window_s")
         if any(
             getattr(current, field) != getattr(settings, field)
@@ -174,7 +185,7 @@
             return None
         return self.clock.now_ms() - self.complete_until_ms
 
-    def _is_target_list_current(self) -> bool:
+    def is_target_list_current(self) -> bool:
         """Return True if the store responds and no live peer knows newer changes."""
         age_ms = self.store_response_age_ms()
         if age_ms is None or age_ms > CONFIG_STALE_AFTER_MS:
@@ -322,6 +333,8 @@
                 self._apply_config(change, source=source)
             elif change.key.startswith(platform.TARGETS_PREFIX):
                 self._apply_target(change, source=source, is_restored=is_restored)
+            elif change.key.startswith(platform.EVACUATIONS_PREFIX):
+                self._apply_evacuation(change, source=source, is_restored=is_restored)
         self.catalogue.advance(revision)
         self.metrics.revision.set(self.catalogue.revision)
         self.placer.schedule_waiting()
@@ -354,6 +367,11 @@
         for change in self.targets.expire(now_ms=self.clock.now_ms()):
             self._apply_target_change(change, source="expired", revision=0)
 
+    def expire_evacuations(self) -> None:
+        """End the evacuations that a restored store has not listed again in time."""
+        for change in self.evacuations.expire(now_ms=self.clock.now_ms()):
+            self._apply_evacuation_change(change)
+
     def is_restored_at(self, revision: int) -> bool:
         """Return True if the store at `revision` was restored since the last change."""
         era = platform.revision_era(self.catalogue.revision)
@@ -374,6 +392,56 @@
         """Start the grace period in which targets register again after an outage."""
         self.targets.record_store_recovery(now_ms=self.clock.now_ms())
 
+    def _apply_evacuation(
+        self, change: StoreRecord, *, source: str, is_restored: bool
+    ) -> None:
+        """Begin, hold or end the evacuation of one data centre."""
+        data_centre = platform.decode_evacuation(change.key)
+        if not data_centre:
+            self.log.info(
+                "evacuation_rejected", revision=change.revision, source=source
+            )
+            return
+        now_ms = self.clock.now_ms()
+        if change.value is not None:
+            evacuation_change = self.evacuations.begin(
+                data_centre, revision=change.revision, source=source, now_ms=now_ms
+            )
+        else:
+            evacuation_change = self.evacuations.end(
+                data_centre,
+                revision=change.revision,
+                source=source,
+                is_restored=is_restored,
+                now_ms=now_ms,
+            )
+        if evacuation_change is not None:
+            self._apply_evacuation_change(evacuation_change)
+
+    def _apply_evacuation_change(self, change: EvacuationChange) -> None:
+        """Log a change; what waits is admitted anew, and targets may be used again."""
+        loads = [
+            load
+            for load in self.scheduler.loads()
+            if load.target.data_centre == change.data_centre
+        ]
+        self.metrics.evacuated_data_centres.set(len(self.evacuations.all()))
+        self.log.info(
+            f"evacuation_{change.event}",
+            data_centre=change.data_centre,
+            revision=change.revision,
+            source=change.source,
+            age_ms=change.age_ms,
+            targets=len(loads),
+            running=sum(load.own_running for load in loads),
+            waiting=self.scheduler.waiting(),
+        )
+        if change.event is EvacuationEvent.BEGUN:
+            self.scheduler.on_capacity_lost()
+        elif change.event is EvacuationEvent.ENDED:
+            for load in loads:
+                self.on_taken_back(load.target.name)
+
     def _apply_config(self, change: StoreRecord, *, source: str) -> None:
         """Activate a configuration unless it is invalid or not newer."""
         decoded = platform.decode_configuration(change.value or b"")
--- a/pistachiohaven/components/gateway/_store_watch.py
+++ b/pistachiohaven/components/gateway/_store_watch.py
@@ -140,9 +140,9 @@
     # Store
 
     async def _load_all(self) -> Result[None, platform.StoreError]:
-        """Read and apply the full list of targets and the configuration.
+        """Read and apply the lists of evacuations and targets, and the configuration.
 
-        Both are complete up to the revision of the list, which is read first.
+        All are complete up to the revision of the list, which is read first.
         """
         state = self._state
         sent_ms = state.clock.now_ms()
@@ -153,16 +153,31 @@
         if isinstance(config_read, Err):
             return config_read
         config_snapshot = config_read.ok_value
+        evacuations_read = await self._store.read_range(platform.EVACUATIONS_PREFIX)
+        if isinstance(evacuations_read, Err):
+            return evacuations_read
         revision = targets_read.ok_value.revision
-        if platform.revision_era(config_snapshot.revision) != platform.revision_era(
-            revision
-        ):
+        eras = {
+            platform.revision_era(snapshot_revision)
+            for snapshot_revision in (
+                revision,
+                config_snapshot.revision,
+                evacuations_read.ok_value.revision,
+            )
+        }
+        if len(eras) > 1:
             return Err(platform.StoreError.HISTORY_GONE)
         self._handle_recovery()
         is_restored = state.is_restored_at(revision)
         if is_restored:
             state.on_store_restored(revision=revision, source="store")
-        applied = state.apply_changes(
+        applied = state.apply_full_list(
+            platform.EVACUATIONS_PREFIX,
+            _to_records(evacuations_read.ok_value),
+            revision=revision,
+            is_restored=is_restored,
+        )
+        applied += state.apply_changes(
             _to_records(config_snapshot), revision=0, source="store"
         )
         applied += state.apply_full_list(
@@ -310,9 +325,10 @@
     ]
     if response.is_full:
         keys = {item.key for item in changes}
-        changes += state.catalogue.implied_deletions(
-            platform.TARGETS_PREFIX, keys, response.revision
-        )
+        for prefix in (platform.EVACUATIONS_PREFIX, platform.TARGETS_PREFIX):
+            changes += state.catalogue.implied_deletions(
+                prefix, keys, response.revision
+            )
     is_restored = state.is_restored_at(response.revision)
     if is_restored:
         state.on_store_restored(revision=response.revision, source=peer)
@@ -325,6 +341,8 @@
         source=peer,
         is_restored=is_restored,
     )
+    if response.is_full or not before:
+        state.catalogue.forget_deletions_before(response.revision)
     state.log.info(
         "peer_records_read",
         peer=peer,
--- a/pistachiohaven/components/placement/_job.py
+++ b/pistachiohaven/components/placement/_job.py
@@ -14,7 +14,8 @@
     of the other parts. The first byte should be sent by `first_byte_due_ms`; without
     one, the caller disconnects at `wait_limit_ms`. If `has_response_started`, the
     request may wait until `deadline_ms`. Targets named in `excluded_targets` are not
-    used. If `version` is not None, only targets of this software version are.
+    used. If `version` is not None, only targets of this software version are, and if
+    `regions` is not None, only targets in one of these.
     """
 
     request_id: str
@@ -32,6 +33,7 @@
     has_response_started: bool = False
     excluded_targets: set[str] = field(default_factory=set)
     version: str | None = None
+    regions: frozenset[str] | None = None
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
--- a/pistachiohaven/components/placement/_load.py
+++ b/pistachiohaven/components/placement/_load.py
@@ -3,6 +3,7 @@
 from collections import OrderedDict, deque
 from dataclasses import dataclass
 
+from pistachiohaven.components.evacuation import Evacuations
 from pistachiohaven.components.exchange import short_hash
 from pistachiohaven.components.fleet import Target
 from pistachiohaven.components.notice import TargetNotices
@@ -76,7 +77,8 @@
     `cache_tokens` is the size of an engine's KV cache. `pool_token_ms` is the time per
     output token at all targets of the pool, to which this one adds its own. The target
     gets no more requests than `rate_limits` allow, and none against its `notices`, in
-    which `incarnation_hash` names it. All times are monotonic milliseconds.
+    which `incarnation_hash` names it, nor while `evacuations` has its data centre. All
+    times are monotonic milliseconds.
     """
 
     def __init__(
@@ -88,10 +90,12 @@
         pool_token_ms: Ewma,
         rate_limits: RateLimits,
         notices: TargetNotices,
+        evacuations: Evacuations,
     ) -> None:
         self.target = target
         self.incarnation_hash = short_hash(target.incarnation)
         self._notices = notices
+        self._evacuations = evacuations
         self._rate_limits = rate_limits
         self.is_engine = is_engine
         self._cache_limit_tokens = int(cache_tokens * CACHE_MEMORY_SHARE)
@@ -237,6 +241,11 @@
         """Return True if the store lists the target as leaving or it said so itself."""
         return self.target.leaving or self._notices.is_leaving(self.incarnation_hash)
 
+    @property
+    def is_evacuated(self) -> bool:
+        """Return True if the target's data centre is evacuated."""
+        return self._evacuations.is_evacuated(self.target.data_centre)
+
     def paused_ms(self, *, now_ms: int) -> int:
         """Return for how many ms the target wants no requests of this entry."""
         return self._notices.paused_ms(self.incarnation_hash, now_ms=now_ms)
@@ -245,6 +254,7 @@
         """Return False if a request that was placed must not be sent any more."""
         return not (
             self._notices.is_leaving(self.incarnation_hash)
+            or self.is_evacuated
             or self.paused_ms(now_ms=now_ms)
         )
 
@@ -287,7 +297,7 @@
         return len(self._freed_at_ms)
 
     def is_usable(self, *, now_ms: int) -> bool:
-        """Return True if the target is neither leaving nor paused nor excluded."""
+        """Return False if the target is leaving, evacuated, paused or excluded."""
         return (
             not self.target.leaving
             and now_ms >= self._excluded_until_ms
--- a/pistachiohaven/components/placement/_scheduler.py
+++ b/pistachiohaven/components/placement/_scheduler.py
@@ -1,8 +1,10 @@
 """Scheduler of the requests that wait for a slot at a target."""
 
 from collections import Counter, defaultdict
+from collections.abc import Mapping, Sequence
 from dataclasses import replace
 
+from pistachiohaven.components.evacuation import Evacuations
 from pistachiohaven.components.fleet import Pool, Target
 from pistachiohaven.components.notice import TargetNotices
 from pistachiohaven.components.rate_limit import RateLimits
@@ -37,7 +39,8 @@
     in a part of the placements only (see `ServingOrder`). A rank that is served much
     less often than the more urgent ones gets a few slots ahead of them. `name` is that
     of this entry, which started at `started_ms`. `rate_limits` and `notices` are what
-    targets say about the requests that they take.
+    targets say about the requests that they take. Targets of the data centres in
+    `evacuations` get none. `regions` has the region of each data centre.
     """
 
     def __init__(
@@ -47,10 +50,15 @@
         started_ms: int = 0,
         rate_limits: RateLimits | None = None,
         notices: TargetNotices | None = None,
+        evacuations: Evacuations | None = None,
+        regions: Mapping[str, str] | None = None,
     ) -> None:
         self._name = name
         self._rate_limits = rate_limits or RateLimits()
         self._notices = notices or TargetNotices()
+        self._evacuations = evacuations or Evacuations()
+        self._regions = regions or {}
+        self._is_capacity_lost = False
         self._started_ms = started_ms
         self._expected_peers = 0
         self._loads: dict[str, TargetLoad] = {}
@@ -74,6 +82,10 @@
         """Apply the pools of a new configuration."""
         self._pools = pools
 
+    def set_regions(self, regions: Mapping[str, str]) -> None:
+        """Replace the region of each data centre."""
+        self._regions = regions
+
     def put_target(self, target: Target) -> None:
         """Add or update a target; a new incarnation starts with an empty load."""
         self._removed_targets.discard(target.name)
@@ -90,6 +102,7 @@
             pool_token_ms=self._pool_token_ms[target.pool],
             rate_limits=self._rate_limits,
             notices=self._notices,
+            evacuations=self._evacuations,
         )
 
     def drop_target(self, name: str) -> None:
@@ -159,7 +172,7 @@
         A job whose response has started is always queued unless no target of its
         version is left.
         """
-        refusal = self._check_version(job, now_ms=now_ms)
+        refusal = self._check_targets(job, now_ms=now_ms)
         if refusal is None and not job.has_response_started:
             refusal = self._check_on_arrival(job, now_ms=now_ms)
         if refusal is None:
@@ -175,12 +188,19 @@
             jobs.remove(job)
             self._record_end(job, is_served=False, now_ms=now_ms)
 
+    def on_capacity_lost(self) -> None:
+        """Have the next `schedule` refuse the waiting jobs that no longer fit."""
+        self._is_capacity_lost = True
+
     def schedule(self, *, now_ms: int) -> list[Decision]:
         """Place the jobs that get a slot and refuse those past their wait limit."""
         decisions: list[Decision] = []
         for jobs in self._waiting.values():
+            if jobs and self._is_capacity_lost:
+                decisions += self._refuse_unfit_jobs(jobs, now_ms=now_ms)
             if jobs:
                 decisions += self._schedule_pool(jobs, now_ms=now_ms)
+        self._is_capacity_lost = False
         return decisions
 
     def has_alternative(self, job: Job, target: str, *, now_ms: int) -> bool:
@@ -220,15 +240,22 @@
         """Return the expected wait in ms for a slot that is not reserved.
 
         `loads` are the targets that `job` may use. The requests ahead of it use all
-        targets of the pool, except those bound to the same version.
+        targets of the pool, except those bound to the same version or regions. Requests
+        bound to other regions only are not ahead of it.
         """
         starts_per_ms = _starts_per_ms(loads)
         jobs_ahead = [
-            other for other in self._waiting.get(job.pool, ()) if other.rank <= job.rank
+            other
+            for other in self._waiting.get(job.pool, ())
+            if other.rank <= job.rank and _may_share_regions(other, job)
         ]
+        is_bound = job.version is not None or job.regions is not None
         bound_ahead = 0
-        if job.version is not None:
-            bound_ahead = sum(other.version == job.version for other in jobs_ahead)
+        if is_bound:
+            bound_ahead = sum(
+                (other.version, other.regions) == (job.version, job.regions)
+                for other in jobs_ahead
+            )
         requests_ahead = len(jobs_ahead) - bound_ahead
         requests_ahead += self._peer_queues.requests_before(
             job.pool, job.rank + 1, now_ms=now_ms
@@ -237,7 +264,7 @@
             self._more_urgent_share(job.pool, job.rank), MAX_URGENT_SHARE
         )
         pool_starts_per_ms = starts_per_ms
-        if job.version is not None:
+        if is_bound:
             pool_starts_per_ms = _starts_per_ms(
                 [
                     load
@@ -263,16 +290,77 @@
             return self._make_refusal(job, Reason.OVERLOAD, now_ms=now_ms)
         return None
 
-    def _check_version(self, job: Job, *, now_ms: int) -> Refusal | None:
-        """Return a refusal if no target of the version of `job` is left.
+    def _check_targets(self, job: Job, *, now_ms: int) -> Refusal | None:
+        """Return a refusal if no target of the version and regions of `job` is left.
 
-        Targets that are excluded or full may become usable again.
+        Also if all of these are evacuated. Targets that are excluded or full may become
+        usable again.
         """
-        if job.version is None or any(
-            not load.is_leaving for load in self._job_loads(job)
-        ):
+        if any(not load.is_leaving for load in self._job_loads(job)):
             return None
-        return self._make_refusal(job, Reason.VERSION_GONE, now_ms=now_ms)
+        loads = [
+            load
+            for load in self._loads.values()
+            if load.target.pool == job.pool and not load.is_leaving
+        ]
+        loads = [load for load in loads if _runs_version(load, job)]
+        if job.version is not None and not loads:
+            return self._make_refusal(job, Reason.VERSION_GONE, now_ms=now_ms)
+        loads = [load for load in loads if self._is_in_home_region(load, job)]
+        if job.regions is not None and not loads:
+            return self._make_refusal(job, Reason.NO_HOME_TARGET, now_ms=now_ms)
+        if loads:
+            return self._make_refusal(job, Reason.EVACUATED, now_ms=now_ms)
+        return None
+
+    def _refuse_unfit_jobs(self, jobs: list[Job], *, now_ms: int) -> list[Refusal]:
+        """Remove and refuse the jobs of one pool that can't start in time any more.
+
+        Otherwise each of them would wait for its limit behind too many others. The jobs
+        that are kept count as ahead of those that follow in the order of service. Peers
+        are expected to keep the same share of each rank as this entry.
+        """
+        speed = measure_speed(self._pool_loads(jobs[0].pool))
+        totals = Counter(job.rank for job in jobs)
+        kept: list[Job] = []
+        refusals: list[Refusal] = []
+        for job in self._order.sort(jobs, speed, now_ms=now_ms):
+            wait_ms = self._expected_wait_behind_ms(job, kept, totals, now_ms=now_ms)
+            deadline_ms = self._queue_deadline_ms(job, now_ms=now_ms)
+            if job.has_response_started or now_ms + wait_ms <= deadline_ms:
+                kept.append(job)
+                continue
+            refusals.append(self._make_refusal(job, Reason.EVACUATED, now_ms=now_ms))
+            self._record_end(job, is_served=False, now_ms=now_ms)
+        jobs[:] = kept
+        return refusals
+
+    def _expected_wait_behind_ms(
+        self, job: Job, ahead: Sequence[Job], totals: Counter[int], *, now_ms: int
+    ) -> float:
+        """Return the expected wait in ms of `job` behind the jobs `ahead`.
+
+        `totals` has the number of this entry's jobs of each rank, kept or not.
+        """
+        loads = self._usable_loads(job, now_ms=now_ms)
+        kept = Counter(other.rank for other in ahead if _may_share_regions(other, job))
+        requests_ahead = float(kept.total())
+        for rank in range(job.rank + 1):
+            peer_requests = self._peer_queues.requests_before(
+                job.pool, rank + 1, now_ms=now_ms
+            ) - self._peer_queues.requests_before(job.pool, rank, now_ms=now_ms)
+            kept_share = kept[rank] / totals[rank] if totals[rank] else 1.0
+            requests_ahead += peer_requests * kept_share
+        free_slots = sum(load.usable_slots(now_ms=now_ms) for load in loads)
+        starts_needed = max(requests_ahead + 1 - free_slots, 0.0)
+        more_urgent_share = min(
+            self._more_urgent_share(job.pool, job.rank), MAX_URGENT_SHARE
+        )
+        wait_ms = starts_needed / _starts_per_ms(loads) / (1.0 - more_urgent_share)
+        reserved_wait_ms = self._reserved_slots.expected_wait_ms(
+            job, ahead, loads, now_ms=now_ms
+        )
+        return wait_ms if reserved_wait_ms is None else min(wait_ms, reserved_wait_ms)
 
     def _schedule_pool(self, jobs: list[Job], *, now_ms: int) -> list[Decision]:
         """Decide about the jobs of one pool in their scheduling order.
@@ -293,19 +381,25 @@
         first_jobs = set(reserved_jobs)
         other_jobs = [job for job in jobs if job not in first_jobs]
         for job in reserved_jobs + other_jobs:
-            version_refusal = self._check_version(job, now_ms=now_ms)
-            if version_refusal is not None:
-                decisions.append(version_refusal)
+            target_refusal = self._check_targets(job, now_ms=now_ms)
+            if target_refusal is not None:
+                decisions.append(target_refusal)
                 jobs.remove(job)
                 self._record_end(job, is_served=False, now_ms=now_ms)
                 continue
             has_reserved_slot = job in first_jobs
             is_blocked = is_blocked or (
                 not has_reserved_slot
+                and job.regions is None
                 and free_slots
                 <= self._peer_queues.requests_before(job.pool, job.rank, now_ms=now_ms)
             )
-            load = None if is_blocked else self._select_target(job, now_ms=now_ms)
+            is_left_to_peers = not has_reserved_slot and self._is_home_left_to_peers(
+                job, now_ms=now_ms
+            )
+            load = None
+            if not is_blocked and not is_left_to_peers:
+                load = self._select_target(job, now_ms=now_ms)
             if load is not None:
                 placement = self._place_job(
                     job, load, has_reserved_slot=has_reserved_slot, now_ms=now_ms
@@ -324,11 +418,30 @@
             decisions += self._use_idle_slots(jobs, free_slots, now_ms=now_ms)
         return decisions
 
+    def _is_home_left_to_peers(self, job: Job, *, now_ms: int) -> bool:
+        """Return True if more urgent requests at peers need the slots in its regions.
+
+        Peers do not report to which regions these are bound, so they are expected to be
+        spread like the slots of the pool. False for a job that is bound to none.
+        """
+        if job.regions is None:
+            return False
+        loads = self._job_loads(job)
+        free_slots = sum(load.usable_slots(now_ms=now_ms) for load in loads)
+        home_share = sum(load.target.slots for load in loads) / max(
+            sum(load.target.slots for load in self._pool_loads(job.pool)), 1
+        )
+        peer_requests = self._peer_queues.requests_before(
+            job.pool, job.rank, now_ms=now_ms
+        )
+        return free_slots <= peer_requests * home_share
+
     def _is_restricted(self, job: Job, *, now_ms: int) -> bool:
         """Return True if `job` may not be placed on all targets of its pool."""
         return (
             bool(job.excluded_targets)
             or job.version is not None
+            or job.regions is not None
             or not all(
                 load.can_end_in_time(job, now_ms=now_ms)
                 for load in self._job_loads(job)
@@ -483,7 +596,9 @@
             ),
             waiting=self.waiting(job.pool),
             expected_wait_ms=wait_ms,
-            free_slots=self._free_slots(job.pool, now_ms=now_ms),
+            free_slots=sum(
+                load.usable_slots(now_ms=now_ms) for load in self._job_loads(job)
+            ),
             peer_requests_ahead=self._peer_queues.requests_before(
                 job.pool, job.rank, now_ms=now_ms
             ),
@@ -492,14 +607,32 @@
         )
 
     def _pool_loads(self, pool: str) -> list[TargetLoad]:
-        return [load for load in self._loads.values() if load.target.pool == pool]
+        """Return the loads of the pool's targets that are not evacuated."""
+        return [
+            load
+            for load in self._loads.values()
+            if load.target.pool == pool and not load.is_evacuated
+        ]
 
     def _job_loads(self, job: Job) -> list[TargetLoad]:
-        """Return the loads of the targets that run the version of `job`."""
-        loads = self._pool_loads(job.pool)
-        if job.version is None:
-            return loads
-        return [load for load in loads if load.target.version == job.version]
+        """Return the loads of the targets that may run `job`.
+
+        They run its version, are in its regions and are not evacuated.
+        """
+        return [
+            load
+            for load in self._pool_loads(job.pool)
+            if _runs_version(load, job) and self._is_in_home_region(load, job)
+        ]
+
+    def _is_in_home_region(self, load: TargetLoad, job: Job) -> bool:
+        """Return True if the target is in a region of `job`, or `job` has none.
+
+        A data centre of unknown region is in none.
+        """
+        if job.regions is None:
+            return True
+        return self._regions.get(load.target.data_centre) in job.regions
 
     def _usable_loads(self, job: Job, *, now_ms: int) -> list[TargetLoad]:
         """Return the usable targets for `job`; if there are none, the unusable ones.
@@ -510,6 +643,18 @@
         return [load for load in loads if load.is_usable(now_ms=now_ms)] or loads
 
 
+def _runs_version(load: TargetLoad, job: Job) -> bool:
+    """Return True if the target runs the version of `job`, or `job` is not bound."""
+    return job.version is None or load.target.version == job.version
+
+
+def _may_share_regions(first: Job, second: Job) -> bool:
+    """Return True if the two jobs may use the same targets, as far as regions go."""
+    if first.regions is None or second.regions is None:
+        return True
+    return not first.regions.isdisjoint(second.regions)
+
+
 def _starts_per_ms(loads: list[TargetLoad]) -> float:
     """Return the rate at which requests can start at targets, per millisecond."""
     return max(sum(load.starts_per_ms for load in loads), MIN_STARTS_PER_MS)
--- a/pistachiohaven/core.py
+++ b/pistachiohaven/core.py
@@ -66,6 +66,12 @@
     OVERLOAD = "overload"
     """No capacity for the request, or a target rejected it without running it."""
 
+    EVACUATED = "evacuated"
+    """The targets outside of evacuated data centres can't run the request in time."""
+
+    NO_HOME_TARGET = "no_home_target"
+    """No target in the regions to which the route or the organisation is bound."""
+
     PART_QUARANTINED = "part_quarantined"
     """Requests with the same part in their prompts crashed several targets."""
 
--- a/pistachiohaven/platform/__init__.py
+++ b/pistachiohaven/platform/__init__.py
@@ -16,6 +16,7 @@
     response_headers,
 )
 from ._configuration import ConfigurationError, decode_configuration
+from ._evacuations import decode_evacuation
 from ._store import (
     Deletion,
     Item,
@@ -27,10 +28,17 @@
     revision_era,
 )
 from ._targets import TargetError, decode_target
-from .const import CONFIG_KEY, MISDIRECTED, READINESS_PATH, TARGETS_PREFIX
+from .const import (
+    CONFIG_KEY,
+    EVACUATIONS_PREFIX,
+    MISDIRECTED,
+    READINESS_PATH,
+    TARGETS_PREFIX,
+)
 
 __all__ = [
     "CONFIG_KEY",
+    "EVACUATIONS_PREFIX",
     "MISDIRECTED",
     "READINESS_PATH",
     "TARGETS_PREFIX",
@@ -47,6 +55,7 @@
     "decode_call",
     "decode_changes",
     "decode_configuration",
+    "decode_evacuation",
     "decode_item",
     "decode_leaving",
     "decode_pause",
--- a/pistachiohaven/platform/const.py
+++ b/pistachiohaven/platform/const.py
@@ -10,6 +10,9 @@
 CONFIG_KEY: Final = "op/config"
 """Store key of the configuration."""
 
+EVACUATIONS_PREFIX: Final = "op/evacuate/"
+"""Start of the store key of an evacuation; the name of the data centre follows it."""
+
 TARGETS_PREFIX: Final = "servers/"
 """Start of the store key of a target; the target's name follows it."""
 
--- a/tests/platform/test_names.py
+++ b/tests/platform/test_names.py
@@ -16,6 +16,7 @@
     "kv-range",
     "kv-key",
     "op/config",
+    "op/evacuate",
     "servers/",
     "server-leaving",
     "server-limit",
--- a/tests/test_layout.py
+++ b/tests/test_layout.py
@@ -10,6 +10,7 @@
 CORE_PARTS = (
     "admission",
     "dispatch",
+    "evacuation",
     "gossip",
     "lifecycle",
     "membership",
