--- /dev/null
+++ b/tests/components/evacuation/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of the evacuation of data centres."""
