--- a/tests/components/evacuation/test_store.py
+++ b/tests/components/evacuation/test_store.py
@@ -133,7 +133,7 @@
         second = Node(name="second")
         content = encode_store_response(first.state, after=0)
         response = msgspec.msgpack.decode(content, type=PeerStoreResponse)
-        apply_peer_response(second.state, response, peer="first")
+        apply_peer_response(second.state, response, peer="first", sent_ms=0)
         node.peer_body = lambda after: encode_store_response(second.state, after=after)
         await hear_peer(node, second, is_evacuated=False)
 
