Keep the cost of placement without evacuations as before

Cause: each job compared versions and regions with each target, and the check of a queue after an evacuation counted peers' requests rank by rank; a stream bound to a version was judged as if all waited for its targets.

Change: unbound jobs skip both comparisons, peers' requests are counted once per pool, and the check uses the same expected wait as an arrival.

--- a/pistachiohaven/components/evacuation/_core.py
+++ b/pistachiohaven/components/evacuation/_core.py
@@ -61,6 +61,10 @@
         """Return True if no target of the data centre may get a request."""
         return data_centre in self._evacuations
 
+    def has_any(self) -> bool:
+        """Return True if a data centre is evacuated."""
+        return bool(self._evacuations)
+
     def all(self) -> list[Evacuation]:
         """Return the evacuations in force."""
         return list(self._evacuations.values())
--- a/pistachiohaven/components/placement/_peer_queues.py
+++ b/pistachiohaven/components/placement/_peer_queues.py
@@ -1,5 +1,6 @@
 """Queue lengths that peers report."""
 
+from collections import Counter
 from collections.abc import Iterator
 from dataclasses import dataclass
 
@@ -51,6 +52,13 @@
         """Return the number of waiting requests of all ranks."""
         return sum(count for _, _, count in self._waiting(pool, now_ms=now_ms))
 
+    def requests_by_rank(self, pool: str, *, now_ms: int) -> Counter[int]:
+        """Return the number of waiting requests of each rank."""
+        counts: Counter[int] = Counter()
+        for _, rank, count in self._waiting(pool, now_ms=now_ms):
+            counts[rank] += count
+        return counts
+
     def competitors(self, pool: str, rank: int, *, now_ms: int) -> list[str]:
         """Return the peers with waiting requests at least as urgent as `rank`."""
         names = {
--- a/pistachiohaven/components/placement/_scheduler.py
+++ b/pistachiohaven/components/placement/_scheduler.py
@@ -222,11 +222,17 @@
         loads = self._usable_loads(job, now_ms=now_ms)
         if any(load.has_free_slot(now_ms=now_ms) for load in loads):
             return 0.0
-        wait_ms = self._expected_shared_wait_ms(job, loads, now_ms=now_ms)
+        waiting = self._waiting.get(job.pool, ())
+        peer_requests = self._peer_queues.requests_before(
+            job.pool, job.rank + 1, now_ms=now_ms
+        )
+        wait_ms = self._expected_shared_wait_ms(
+            job, loads, waiting, peer_requests, now_ms=now_ms
+        )
         if not loads:
             return wait_ms
         reserved_wait_ms = self._reserved_slots.expected_wait_ms(
-            job, self._waiting.get(job.pool, ()), loads, now_ms=now_ms
+            job, waiting, loads, now_ms=now_ms
         )
         if reserved_wait_ms is not None:
             wait_ms = min(wait_ms, reserved_wait_ms)
@@ -235,18 +241,25 @@
         )
 
     def _expected_shared_wait_ms(
-        self, job: Job, loads: list[TargetLoad], *, now_ms: int
+        self,
+        job: Job,
+        loads: list[TargetLoad],
+        waiting: Sequence[Job],
+        peer_requests: float,
+        *,
+        now_ms: int,
     ) -> float:
         """Return the expected wait in ms for a slot that is not reserved.
 
         `loads` are the targets that `job` may use. The requests ahead of it use all
         targets of the pool, except those bound to the same version or regions. Requests
-        bound to other regions only are not ahead of it.
+        bound to other regions only are not ahead of it. `waiting` are those of this
+        entry, and `peer_requests` is the number of those at peers.
         """
         starts_per_ms = _starts_per_ms(loads)
         jobs_ahead = [
             other
-            for other in self._waiting.get(job.pool, ())
+            for other in waiting
             if other.rank <= job.rank and _may_share_regions(other, job)
         ]
         is_bound = job.version is not None or job.regions is not None
@@ -256,10 +269,7 @@
                 (other.version, other.regions) == (job.version, job.regions)
                 for other in jobs_ahead
             )
-        requests_ahead = len(jobs_ahead) - bound_ahead
-        requests_ahead += self._peer_queues.requests_before(
-            job.pool, job.rank + 1, now_ms=now_ms
-        )
+        requests_ahead = len(jobs_ahead) - bound_ahead + peer_requests
         more_urgent_share = min(
             self._more_urgent_share(job.pool, job.rank), MAX_URGENT_SHARE
         )
@@ -296,6 +306,9 @@
         Also if all of these are evacuated. Targets that are excluded or full may become
         usable again.
         """
+        is_bound = job.version is not None or job.regions is not None
+        if not is_bound and not self._evacuations.has_any():
+            return None
         if any(not load.is_leaving for load in self._job_loads(job)):
             return None
         loads = [
@@ -322,46 +335,37 @@
         """
         speed = measure_speed(self._pool_loads(jobs[0].pool))
         totals = Counter(job.rank for job in jobs)
+        peer_totals = self._peer_queues.requests_by_rank(jobs[0].pool, now_ms=now_ms)
         kept: list[Job] = []
+        kept_by_rank: Counter[int] = Counter()
         refusals: list[Refusal] = []
         for job in self._order.sort(jobs, speed, now_ms=now_ms):
-            wait_ms = self._expected_wait_behind_ms(job, kept, totals, now_ms=now_ms)
+            peer_requests = sum(
+                count * (kept_by_rank[rank] / totals[rank] if totals[rank] else 1.0)
+                for rank, count in peer_totals.items()
+                if rank <= job.rank
+            )
+            loads = self._usable_loads(job, now_ms=now_ms)
+            wait_ms = self._expected_shared_wait_ms(
+                job, loads, kept, peer_requests, now_ms=now_ms
+            )
+            free_slots = sum(load.usable_slots(now_ms=now_ms) for load in loads)
+            wait_ms = max(wait_ms - free_slots / _starts_per_ms(loads), 0.0)
+            reserved_wait_ms = self._reserved_slots.expected_wait_ms(
+                job, kept, loads, now_ms=now_ms
+            )
+            if reserved_wait_ms is not None:
+                wait_ms = min(wait_ms, reserved_wait_ms)
             deadline_ms = self._queue_deadline_ms(job, now_ms=now_ms)
             if job.has_response_started or now_ms + wait_ms <= deadline_ms:
                 kept.append(job)
+                kept_by_rank[job.rank] += 1
                 continue
             refusals.append(self._make_refusal(job, Reason.EVACUATED, now_ms=now_ms))
             self._record_end(job, is_served=False, now_ms=now_ms)
         jobs[:] = kept
         return refusals
 
-    def _expected_wait_behind_ms(
-        self, job: Job, ahead: Sequence[Job], totals: Counter[int], *, now_ms: int
-    ) -> float:
-        """Return the expected wait in ms of `job` behind the jobs `ahead`.
-
-        `totals` has the number of this entry's jobs of each rank, kept or not.
-        """
-        loads = self._usable_loads(job, now_ms=now_ms)
-        kept = Counter(other.rank for other in ahead if _may_share_regions(other, job))
-        requests_ahead = float(kept.total())
-        for rank in range(job.rank + 1):
-            peer_requests = self._peer_queues.requests_before(
-                job.pool, rank + 1, now_ms=now_ms
-            ) - self._peer_queues.requests_before(job.pool, rank, now_ms=now_ms)
-            kept_share = kept[rank] / totals[rank] if totals[rank] else 1.0
-            requests_ahead += peer_requests * kept_share
-        free_slots = sum(load.usable_slots(now_ms=now_ms) for load in loads)
-        starts_needed = max(requests_ahead + 1 - free_slots, 0.0)
-        more_urgent_share = min(
-            self._more_urgent_share(job.pool, job.rank), MAX_URGENT_SHARE
-        )
-        wait_ms = starts_needed / _starts_per_ms(loads) / (1.0 - more_urgent_share)
-        reserved_wait_ms = self._reserved_slots.expected_wait_ms(
-            job, ahead, loads, now_ms=now_ms
-        )
-        return wait_ms if reserved_wait_ms is None else min(wait_ms, reserved_wait_ms)
-
     def _schedule_pool(self, jobs: list[Job], *, now_ms: int) -> list[Decision]:
         """Decide about the jobs of one pool in their scheduling order.
 
@@ -608,20 +612,22 @@
 
     def _pool_loads(self, pool: str) -> list[TargetLoad]:
         """Return the loads of the pool's targets that are not evacuated."""
-        return [
-            load
-            for load in self._loads.values()
-            if load.target.pool == pool and not load.is_evacuated
-        ]
+        loads = [load for load in self._loads.values() if load.target.pool == pool]
+        if not self._evacuations.has_any():
+            return loads
+        return [load for load in loads if not load.is_evacuated]
 
     def _job_loads(self, job: Job) -> list[TargetLoad]:
         """Return the loads of the targets that may run `job`.
 
         They run its version, are in its regions and are not evacuated.
         """
+        loads = self._pool_loads(job.pool)
+        if job.version is None and job.regions is None:
+            return loads
         return [
             load
-            for load in self._pool_loads(job.pool)
+            for load in loads
             if _runs_version(load, job) and self._is_in_home_region(load, job)
         ]
 
