--- a/pistachiohaven/components/evacuation/_core.py
+++ b/pistachiohaven/components/evacuation/_core.py
@@ -62,7 +62,7 @@
         return data_centre in self._evacuations
 
     def has_any(self) -> bool:
-        """Return True if some data centre is evacuated."""
+        """Return True if a data centre is evacuated."""
         return bool(self._evacuations)
 
     def all(self) -> list[Evacuation]:
