Limit the requests to cold targets by fixed shares

Change: a component that knows which targets are cold and paces this gateway's share of what they tolerate; messages to peers, a header of targets, logs and a gauge. Pools that name no such rate are served as before.

--- a/pistachiohaven/components/exchange/__init__.py
+++ b/pistachiohaven/components/exchange/__init__.py
@@ -2,6 +2,7 @@
 
 from ._core import Exchange, Peer, PeerEvents, Recipient
 from ._messages import (
+    ColdTargetReport,
     CrashReport,
     Datagram,
     Digest,
@@ -26,6 +27,7 @@
 )
 
 __all__ = [
+    "ColdTargetReport",
     "CrashReport",
     "Datagram",
     "Digest",
--- a/pistachiohaven/components/exchange/_messages.py
+++ b/pistachiohaven/components/exchange/_messages.py
@@ -91,6 +91,16 @@
     crashes: tuple[CrashReport, ...]
 
 
+class ColdTargetReport(msgspec.Struct, array_like=True, frozen=True, kw_only=True):
+    """Target that stays cold for `remaining_ms` milliseconds.
+
+    `target` is the hash of its incarnation.
+    """
+
+    target: int
+    remaining_ms: int
+
+
 class Digest(msgspec.Struct, array_like=True, frozen=True, kw_only=True, tag=0):
     """Complete state of one entry; it replaces that of all earlier messages.
 
@@ -101,7 +111,8 @@
     usage of all entries within the quota window, as known to the sender; only peers
     that do not know the sender yet get it. `rate_limits` are all that it knows,
     `leaving_targets` those that said lately that they leave, and `part_crashes` those
-    of the parts with most crashes. `addresses` are as in an update.
+    of the parts with most crashes. `addresses` are as in an update. `cold_targets` are
+    those that the sender knows to be cold, other than from peers.
     """
 
     sender: Member
@@ -120,6 +131,7 @@
     leaving_targets: tuple[LeavingTargetReport, ...] = ()
     part_crashes: tuple[PartCrashReport, ...] = ()
     addresses: tuple[bytes, ...] = ()
+    cold_targets: tuple[ColdTargetReport, ...] = ()
 
 
 class Update(msgspec.Struct, array_like=True, frozen=True, kw_only=True, tag=1):
@@ -129,7 +141,8 @@
     `prefill` have one byte per target, ordered by name: the number of requests, and
     their prompt tokens in steps of `PREFILL_STEP_TOKENS`.
     `targets` is the hash of the list of target names. `used_tokens`, `rate_limits`,
-    `leaving_targets` and `part_crashes` have only the values that changed recently.
+    `leaving_targets`, `part_crashes` and `cold_targets` have only the values that
+    changed recently.
     `addresses` are those of some live entries, each encoded by `encode_address`, while
     the sender starts.
     """
@@ -147,6 +160,7 @@
     leaving_targets: tuple[LeavingTargetReport, ...] = ()
     part_crashes: tuple[PartCrashReport, ...] = ()
     addresses: tuple[bytes, ...] = ()
+    cold_targets: tuple[ColdTargetReport, ...] = ()
 
 
 class DigestRequest(msgspec.Struct, array_like=True, frozen=True, kw_only=True, tag=2):
--- a/pistachiohaven/components/gateway/_daemon.py
+++ b/pistachiohaven/components/gateway/_daemon.py
@@ -149,8 +149,8 @@
 ) -> None:
     """Apply the configured connection limits periodically.
 
-    Also remove targets that have not registered again, and close idle connections to
-    removed targets.
+    Also remove targets that have not registered again, end the time of cold ones, and
+    close idle connections to removed targets.
     """
     while True:
         if state.route_table is not None:
@@ -163,6 +163,7 @@
                 )
             )
         state.expire_targets()
+        state.expire_cold_targets()
         while state.removed_addresses:
             await pool.close_idle(state.removed_addresses.pop())
         await trio.sleep(SCHEDULER_TICK_MS * 5 / MS_PER_S)
--- a/pistachiohaven/components/gateway/_dispatch.py
+++ b/pistachiohaven/components/gateway/_dispatch.py
@@ -132,6 +132,7 @@
         self._stall_monitor = state.stall_monitor
         self._observe_notices = state.observe_notices
         self._observe_rate_limit = state.observe_rate_limit
+        self._record_unreachable = state.record_unreachable
         self._stall_detector = StallDetector(
             request_id=call.head.attempt_id,
             load=load,
@@ -159,6 +160,7 @@
             self._load.record_failure(
                 request_id, has_responded=False, now_ms=self._clock.now_ms()
             )
+            self._record_unreachable(self._load, acquired.err_value)
             return FailedDispatch(failure=Failure.NOT_SENT, detail=acquired.err_value)
         connection = acquired.ok_value
         if not self._load.accepts_requests(now_ms=self._clock.now_ms()):
@@ -167,6 +169,10 @@
             return FailedDispatch(
                 failure=Failure.NOT_SENT, detail="target leaving or paused"
             )
+        if not self._load.try_send(now_ms=self._clock.now_ms()):
+            self._load.record_cancelled(request_id)
+            await self._pool.close(connection)
+            return FailedDispatch(failure=Failure.NOT_SENT, detail="target cold")
         try:
             result = await self._exchange_until_stalled(connection)
         except EndlessResponseError as error:
@@ -199,6 +205,8 @@
             self._load.record_failure(
                 request_id, has_responded=result.has_responded, now_ms=now_ms
             )
+            if not result.has_responded and self._load.failures_in_row > 1:
+                self._record_unreachable(self._load, result.detail)
 
     def _token_count(self) -> int:
         """Return the number of output tokens after the first event."""
--- a/pistachiohaven/components/gateway/_metrics.py
+++ b/pistachiohaven/components/gateway/_metrics.py
@@ -54,6 +54,11 @@
         self.live_peers = Gauge(
             "gateway_live_peers", "Gateways heard of lately", registry=self.registry
         )
+        self.cold_targets = Gauge(
+            "gateway_cold_targets",
+            "Targets held to be cold",
+            registry=self.registry,
+        )
         self.connections_opened = Gauge(
             "gateway_connections_opened",
             "Connections opened to targets since the start",
--- a/pistachiohaven/components/gateway/_peers.py
+++ b/pistachiohaven/components/gateway/_peers.py
@@ -6,7 +6,9 @@
 import trio
 from result import Err
 
+from pistachiohaven.components.cold import ColdReport
 from pistachiohaven.components.exchange import (
+    ColdTargetReport,
     Datagram,
     Digest,
     DigestRequest,
@@ -88,6 +90,7 @@
         state.quota.set_expected_peers(expected_peers)
         state.scheduler.set_expected_peers(expected_peers)
         state.rate_limits.set_entries(state.exchange.entry_addresses(), now_ms=now_ms)
+        state.cold_targets.set_entries(state.exchange.entry_addresses(), now_ms=now_ms)
         self._sequence += 1
         self._record_usage()
         update = b""
@@ -167,6 +170,7 @@
             leaving_targets=self._leaving_reports(changed_only=False, now_ms=now_ms),
             part_crashes=state.crash_link.reports(changed_only=False),
             addresses=self._sample_addresses(now_ms=now_ms),
+            cold_targets=self._cold_reports(changed_only=False, now_ms=now_ms),
         )
 
     def _build_update(self, *, now_ms: int) -> Update:
@@ -199,6 +203,7 @@
             leaving_targets=self._leaving_reports(changed_only=True, now_ms=now_ms),
             part_crashes=state.crash_link.reports(changed_only=True),
             addresses=self._sample_addresses(now_ms=now_ms),
+            cold_targets=self._cold_reports(changed_only=True, now_ms=now_ms),
         )
 
     def _sample_addresses(self, *, now_ms: int) -> tuple[bytes, ...]:
@@ -229,6 +234,17 @@
             for report in reports
         )
 
+    def _cold_reports(
+        self, *, changed_only: bool, now_ms: int
+    ) -> tuple[ColdTargetReport, ...]:
+        reports = self._state.cold_targets.reports(
+            changed_only=changed_only, now_ms=now_ms
+        )
+        return tuple(
+            ColdTargetReport(target=report.target, remaining_ms=report.remaining_ms)
+            for report in reports
+        )
+
     def _sorted_loads(self) -> list[TargetLoad]:
         loads = self._state.scheduler.loads()
         return sorted(loads, key=lambda load: load.target.name)
@@ -382,6 +398,12 @@
                 peer=peer.member.name,
             )
         state.crash_link.apply(message.part_crashes, peer=peer.member.name)
+        state.cold_targets.record_peer_heard()
+        for cold in message.cold_targets:
+            state.apply_cold_report(
+                ColdReport(target=cold.target, remaining_ms=cold.remaining_ms),
+                peer=peer.member.name,
+            )
         waiting = [
             (queue_report.pool, queue_report.rank, queue_report.count)
             for queue_report in message.waiting
--- a/pistachiohaven/components/gateway/_request.py
+++ b/pistachiohaven/components/gateway/_request.py
@@ -558,6 +558,9 @@
             peer_requests_ahead=refusal.peer_requests_ahead,
             more_urgent_share=round(refusal.more_urgent_share, 2),
             served_share=round(refusal.served_share, 2),
+            cold_targets=self._state.cold_targets.count(
+                refusal.job.pool, now_ms=self._state.clock.now_ms()
+            ),
             retry_after_ms=refusal.retry_after_ms,
             config_version=self._call.config_version,
         )
--- a/pistachiohaven/components/gateway/_state.py
+++ b/pistachiohaven/components/gateway/_state.py
@@ -7,6 +7,12 @@
 from result import Err
 
 from pistachiohaven import platform
+from pistachiohaven.components.cold import (
+    ColdChange,
+    ColdReport,
+    ColdTargets,
+    ColdTolerance,
+)
 from pistachiohaven.components.exchange import Exchange, short_hash
 from pistachiohaven.components.fleet import (
     Catalogue,
@@ -32,7 +38,7 @@
 from pistachiohaven.const import MS_PER_S
 from pistachiohaven.helpers import Clock, ComponentLogger, make_uuid7
 
-from ._crashes import CrashChecks, CrashLink
+from ._crashes import REFUSED, CrashChecks, CrashLink
 from ._metrics import GatewayMetrics
 from ._origins import OriginLink
 from ._placer import Placer
@@ -64,11 +70,21 @@
         self.started_ms = clock.now_ms()
         self.rate_limits = RateLimits(name=settings.exchange_address)
         self.notices = TargetNotices()
+        self.cold_targets = ColdTargets(
+            name=settings.exchange_address,
+            started_ms=self.started_ms,
+            needs_peers=any(
+                address != settings.exchange_address
+                for address in settings.seed_addresses
+            ),
+            tolerance=_cold_tolerance(settings),
+        )
         self.scheduler = Scheduler(
             name=self.incarnation,
             started_ms=self.started_ms,
             rate_limits=self.rate_limits,
             notices=self.notices,
+            cold_targets=self.cold_targets,
         )
         self.placer = Placer(scheduler=self.scheduler, clock=clock)
         self.stall_monitor = StallMonitor(clock=clock)
@@ -124,6 +140,7 @@
                 "internal_ports": current.internal_ports,
             }
         )
+        self.cold_targets.set_tolerance(_cold_tolerance(self.settings))
         retry_fields = ("retry_ratio", "retry_extra", "retry_window_s")
         if any(
             getattr(current, field) != getattr(settings, field)
@@ -208,6 +225,7 @@
             if notice is not None:
                 self._apply_leaving(load, notice)
         self._observe_pause(load, status, headers)
+        self._observe_cold(load, headers)
 
     def _observe_pause(
         self, load: TargetLoad, status: int, headers: platform.Headers
@@ -235,6 +253,78 @@
                 until_ms=self.clock.wall_ms() + pause_ms,
             )
 
+    def _observe_cold(self, load: TargetLoad, headers: platform.Headers) -> None:
+        """Apply how long the target of `load` says that it stays cold, if it does."""
+        now_ms = self.clock.now_ms()
+        self.cold_targets.record_alive(load.incarnation_hash, now_ms=now_ms)
+        decoded = platform.decode_cold(headers)
+        if isinstance(decoded, Err):
+            self.log.info(
+                "cold_rejected", target=load.target.name, error=decoded.err_value
+            )
+            return
+        if decoded.ok_value:
+            self._log_cold(
+                self.cold_targets.mark_cold(
+                    load.incarnation_hash,
+                    decoded.ok_value,
+                    source=SOURCE_TARGET,
+                    now_ms=now_ms,
+                )
+            )
+
+    def record_unreachable(self, load: TargetLoad, error: str) -> None:
+        """Record that no connection or no response of the target came about."""
+        self._log_cold(
+            self.cold_targets.record_unreachable(
+                load.incarnation_hash,
+                is_refused=error == REFUSED,
+                now_ms=self.clock.now_ms(),
+            )
+        )
+
+    def mark_cold(self, target: Target, for_ms: int, *, source: str) -> None:
+        """Hold `target` to be cold for `for_ms`, as known from `source`.
+
+        Without effect if its pool tolerates any rate.
+        """
+        self._log_cold(
+            self.cold_targets.mark_cold(
+                short_hash(target.incarnation),
+                for_ms,
+                source=source,
+                now_ms=self.clock.now_ms(),
+            )
+        )
+
+    def apply_cold_report(self, report: ColdReport, *, peer: str) -> None:
+        """Apply what `peer` passed on about a cold target."""
+        self._log_cold(
+            self.cold_targets.apply_report(
+                report, peer=peer, now_ms=self.clock.now_ms()
+            )
+        )
+
+    def expire_cold_targets(self) -> None:
+        """End the time of the targets that are not cold any more."""
+        for change in self.cold_targets.tick(now_ms=self.clock.now_ms()):
+            self._log_cold(change)
+
+    def _log_cold(self, change: ColdChange | None) -> None:
+        if change is None:
+            return
+        self.metrics.cold_targets.set(self.cold_targets.known_count)
+        self.log.info(
+            "target_cold",
+            target=change.target,
+            state="begin" if change.is_cold else "end",
+            source=change.source,
+            age_ms=change.age_ms,
+            remaining_ms=change.remaining_ms,
+            share=change.share.requests if change.share else None,
+            entries=change.share.entries if change.share else None,
+        )
+
     def apply_leaving_report(self, report: LeavingReport, *, peer: str) -> None:
         """Apply the notice of a target that `peer` passed on.
 
@@ -398,6 +488,7 @@
         self.route_table = RouteTable(config=config)
         self.quota.configure(config.organisations, now_ms=self.clock.now_ms())
         self.scheduler.configure(config.pools)
+        self.cold_targets.configure(config.pools)
         stream_timeouts_ms = [
             route.timeout_ms for route in config.routes if route.is_resumable
         ]
@@ -485,6 +576,7 @@
             self.scheduler.drop_target(change.name)
             if change.before is not None:
                 self.removed_addresses.append(change.before.address)
+                self.cold_targets.drop_target(change.before)
         else:
             self.origins.history.put(
                 change.name,
@@ -493,6 +585,7 @@
                 now_ms=now_ms,
             )
             self.scheduler.put_target(change.after)
+            self._log_cold(self.cold_targets.put_target(change.after, now_ms=now_ms))
         self.log.info(
             "target_changed",
             target=change.name,
@@ -517,6 +610,12 @@
             self._apply_leaving(load, notice)
 
 
+def _cold_tolerance(settings: GatewaySettings) -> ColdTolerance:
+    return ColdTolerance(
+        overage=settings.cold_overage, requests=settings.cold_tolerance_requests
+    )
+
+
 def _describe_state(change: TargetChange) -> str:
     """Return the target's state for the logs."""
     if change.after is None:
--- a/pistachiohaven/components/placement/_load.py
+++ b/pistachiohaven/components/placement/_load.py
@@ -3,6 +3,7 @@
 from collections import OrderedDict, deque
 from dataclasses import dataclass
 
+from pistachiohaven.components.cold import ColdTargets
 from pistachiohaven.components.exchange import short_hash
 from pistachiohaven.components.fleet import Target
 from pistachiohaven.components.notice import TargetNotices
@@ -75,8 +76,9 @@
 
     `cache_tokens` is the size of an engine's KV cache. `pool_token_ms` is the time per
     output token at all targets of the pool, to which this one adds its own. The target
-    gets no more requests than `rate_limits` allow, and none against its `notices`, in
-    which `incarnation_hash` names it. All times are monotonic milliseconds.
+    gets no more requests than `rate_limits` and `cold_targets` allow, and none against
+    its `notices`; `incarnation_hash` names it in the last two. All times are monotonic
+    milliseconds.
     """
 
     def __init__(
@@ -88,11 +90,13 @@
         pool_token_ms: Ewma,
         rate_limits: RateLimits,
         notices: TargetNotices,
+        cold_targets: ColdTargets | None = None,
     ) -> None:
         self.target = target
         self.incarnation_hash = short_hash(target.incarnation)
         self._notices = notices
         self._rate_limits = rate_limits
+        self._cold_targets = cold_targets or ColdTargets()
         self.is_engine = is_engine
         self._cache_limit_tokens = int(cache_tokens * CACHE_MEMORY_SHARE)
         self._prompt_cache: OrderedDict[str, tuple[int, int]] = OrderedDict()
@@ -212,19 +216,27 @@
     def starts_per_ms(self) -> float:
         """Return the rate at which requests can start, in requests per millisecond.
 
-        Of a target with a rate limit, it is at most this entry's share of it.
+        Of a target that is cold or has a rate limit, it is at most this entry's share.
         """
         starts_per_ms = self.target.slots / self.service_ms
-        share_per_s = self._rate_limits.share_per_s(self.target.name)
-        if share_per_s is None:
-            return starts_per_ms
-        return min(starts_per_ms, share_per_s / MS_PER_S)
+        for share_per_s in (
+            self._rate_limits.share_per_s(self.target.name),
+            self._cold_targets.share_per_s(self.incarnation_hash),
+        ):
+            if share_per_s is not None:
+                starts_per_ms = min(starts_per_ms, share_per_s / MS_PER_S)
+        return starts_per_ms
 
     @property
     def failed_share(self) -> float:
         """Return the share (0 to 1) of recent requests that failed."""
         return self._failure_share.get(0.0)
 
+    @property
+    def failures_in_row(self) -> int:
+        """Return the number of exclusions since the last complete response."""
+        return self._failures_in_row
+
     @property
     def is_suspect(self) -> bool:
         """Return True if the last request failed and none has succeeded since."""
@@ -248,10 +260,21 @@
             or self.paused_ms(now_ms=now_ms)
         )
 
+    def is_cold(self, *, now_ms: int) -> bool:
+        """Return True if this entry may only use its share of the target."""
+        return self._cold_targets.is_cold(self.incarnation_hash, now_ms=now_ms)
+
+    def try_send(self, *, now_ms: int) -> bool:
+        """Return False if a placed request must not be sent since the target is cold.
+
+        Otherwise the request counts as sent.
+        """
+        return self._cold_targets.try_send(self.incarnation_hash, now_ms=now_ms)
+
     def has_free_slot(self, *, now_ms: int) -> bool:
         """Return True if the target takes a request of this entry now.
 
-        It is available, has a free slot, and its rate limit leaves a request. A target
+        It is available, has a free slot, and its limits leave a request. A target
         that is probed after a failure takes one request at a time.
         """
         if not self.is_usable(now_ms=now_ms):
@@ -269,7 +292,7 @@
         return self.target.slots - self.running(now_ms=now_ms)
 
     def usable_slots(self, *, now_ms: int) -> int:
-        """Return how many of the free slots the rate limit lets this entry use now."""
+        """Return how many of the free slots the limits let this entry use now."""
         return min(
             self.free_slots(now_ms=now_ms), self._allowed_requests(now_ms=now_ms)
         )
@@ -343,6 +366,7 @@
         if self._freed_at_ms:
             self._freed_at_ms.popleft()
         self._rate_limits.record_sent(self.target.name, now_ms=now_ms)
+        self._cold_targets.record_placed(self.incarnation_hash, now_ms=now_ms)
         self._running[job.request_id] = _Running(
             job=job,
             sent_ms=now_ms,
@@ -462,9 +486,14 @@
     # Estimates
 
     def _allowed_requests(self, *, now_ms: int) -> int:
-        """Return how many requests the rate limit allows now, all slots without one."""
-        allowed = self._rate_limits.available_requests(self.target.name, now_ms=now_ms)
-        return self.target.slots if allowed is None else allowed
+        """Return how many requests the limits allow now, all slots without one."""
+        allowed = (
+            self._rate_limits.available_requests(self.target.name, now_ms=now_ms),
+            self._cold_targets.available_requests(self.incarnation_hash, now_ms=now_ms),
+        )
+        return min(
+            (each for each in allowed if each is not None), default=self.target.slots
+        )
 
     def _live_peer_loads(self, *, now_ms: int) -> list[PeerLoad]:
         """Return the loads reported within `PEER_LOAD_TTL_MS`."""
--- a/pistachiohaven/components/placement/_scheduler.py
+++ b/pistachiohaven/components/placement/_scheduler.py
@@ -3,6 +3,7 @@
 from collections import Counter, defaultdict
 from dataclasses import replace
 
+from pistachiohaven.components.cold import ColdTargets
 from pistachiohaven.components.fleet import Pool, Target
 from pistachiohaven.components.notice import TargetNotices
 from pistachiohaven.components.rate_limit import RateLimits
@@ -37,7 +38,8 @@
     in a part of the placements only (see `ServingOrder`). A rank that is served much
     less often than the more urgent ones gets a few slots ahead of them. `name` is that
     of this entry, which started at `started_ms`. `rate_limits` and `notices` are what
-    targets say about the requests that they take.
+    targets say about the requests that they take, and `cold_targets` those of which
+    this entry may only use its share.
     """
 
     def __init__(
@@ -47,10 +49,12 @@
         started_ms: int = 0,
         rate_limits: RateLimits | None = None,
         notices: TargetNotices | None = None,
+        cold_targets: ColdTargets | None = None,
     ) -> None:
         self._name = name
         self._rate_limits = rate_limits or RateLimits()
         self._notices = notices or TargetNotices()
+        self._cold_targets = cold_targets or ColdTargets()
         self._started_ms = started_ms
         self._expected_peers = 0
         self._loads: dict[str, TargetLoad] = {}
@@ -90,6 +94,7 @@
             pool_token_ms=self._pool_token_ms[target.pool],
             rate_limits=self._rate_limits,
             notices=self._notices,
+            cold_targets=self._cold_targets,
         )
 
     def drop_target(self, name: str) -> None:
@@ -383,7 +388,7 @@
         Peers with equally urgent requests see the same free slots, each at a different
         time. A slot that this entry freed is used by this entry. The other slots are
         assigned to the entries with waiting requests in rendezvous order, which all of
-        them compute alike.
+        them compute alike. Of a cold target, each has a share of its own.
         """
         free_slots = load.free_slots(now_ms=now_ms)
         if free_slots <= 0 or load.own_running >= self._max_own_running(
@@ -391,7 +396,7 @@
         ):
             return False
         competitors = self._peer_queues.competitors(job.pool, job.rank, now_ms=now_ms)
-        if not competitors:
+        if not competitors or load.is_cold(now_ms=now_ms):
             return True
         own_freed = load.own_freed_slots(now_ms=now_ms)
         if own_freed:
--- a/pistachiohaven/platform/_calls.py
+++ b/pistachiohaven/platform/_calls.py
@@ -222,6 +222,20 @@
     return any(value not in {b"", b"0"} for value in values)
 
 
+def decode_cold(headers: Headers) -> Result[int | None, str]:
+    """Return for how many ms the target that responds stays cold, None if unnamed."""
+    text = next((value for name, value in headers if name == wire.COLD_MS), None)
+    if text is None:
+        return Ok(None)
+    try:
+        remaining_ms = float(text)
+    except ValueError:
+        remaining_ms = math.nan
+    if not math.isfinite(remaining_ms) or remaining_ms < 0:
+        return Err(f"not a time in milliseconds: {text.decode('latin-1')!r}")
+    return Ok(math.ceil(remaining_ms))
+
+
 def decode_pause(status: int, headers: Headers) -> Result[int | None, str]:
     """Return for how many ms the target that responds wants no requests, or None.
 
--- a/pistachiohaven/platform/const.py
+++ b/pistachiohaven/platform/const.py
@@ -16,6 +16,9 @@
 ATTEMPT_ID: Final = b"pistachiohaven-attempt-id"
 """Header with the id of the attempt, which a successful response repeats."""
 
+COLD_MS: Final = b"pistachiohaven-cold-ms"
+"""Header with the milliseconds for which the target that responds stays cold."""
+
 CREDENTIAL: Final = b"pistachiohaven-credential"
 """Header with the API key of the caller."""
 
--- /dev/null
+++ b/tests/components/cold/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of cold targets."""
