Test the bound of cold targets under load and failures

Cause: the operators allow 26 requests in any second to a cold target that tolerates 14, over all gateways; nothing replayed a data centre that comes back cold.

--- /dev/null
+++ b/tests/components/cold/test_core.py
@@ -0,0 +1,79 @@
+"""Knowledge of cold targets."""
+
+from pistachiohaven.components.cold import ColdReport, ColdTargets
+from pistachiohaven.components.exchange import short_hash
+
+from .simulation import COLD_START_MS, POOL, TOLERANCE, make_target
+
+TARGET = make_target(0)
+KEY = short_hash(TARGET.incarnation)
+
+
+def make_cold_targets() -> ColdTargets:
+    cold = ColdTargets(name="a", started_ms=-60_000, tolerance=TOLERANCE)
+    cold.configure({"p": POOL})
+    cold.put_target(TARGET, now_ms=0)
+    return cold
+
+
+def test_unknown_target_is_not_cold() -> None:
+    cold = make_cold_targets()
+    assert cold.available_requests(KEY, now_ms=0) is None
+    assert cold.share_per_s(KEY) is None
+    assert cold.try_send(KEY, now_ms=0)
+
+
+def test_pool_without_a_rate_is_not_limited() -> None:
+    cold = make_cold_targets()
+    cold.configure({})
+    cold.mark_cold(KEY, 5_000, source="store", now_ms=0)
+    assert cold.available_requests(KEY, now_ms=0) is None
+    assert cold.try_send(KEY, now_ms=0)
+
+
+def test_longest_remaining_time_counts_until_its_end() -> None:
+    cold = make_cold_targets()
+    cold.mark_cold(KEY, 5_000, source="store", now_ms=0)
+    cold.mark_cold(KEY, 1_000, source="target", now_ms=0)
+    assert cold.is_cold(KEY, now_ms=4_999)
+    assert not cold.is_cold(KEY, now_ms=5_000)
+
+
+def test_new_incarnation_is_cold_while_requests_are_served() -> None:
+    cold = make_cold_targets()
+    cold.put_target(make_target(1), now_ms=0)
+    cold.record_placed(KEY, now_ms=0)
+    change = cold.put_target(make_target(2), now_ms=0)
+    assert cold.count("p", now_ms=COLD_START_MS - 1) == 1
+    assert change is not None
+    assert change.source == "start"
+
+
+def test_refused_target_is_cold_from_its_first_sign_of_life() -> None:
+    cold = make_cold_targets()
+    cold.record_unreachable(KEY, is_refused=True, now_ms=0)
+    cold.record_alive(KEY, now_ms=3_000)
+    assert cold.is_cold(KEY, now_ms=3_000 + COLD_START_MS - 1)
+    assert not cold.is_cold(KEY, now_ms=3_000 + COLD_START_MS)
+
+
+def test_reports_do_not_prolong_the_time_of_both_entries() -> None:
+    """Each delayed report would lengthen the time that the other entry passes on."""
+    one, other = make_cold_targets(), make_cold_targets()
+    one.mark_cold(KEY, 5_000, source="store", now_ms=0)
+    for now_ms in range(0, 20_000, 1_000):
+        for sender, receiver in ((one, other), (other, one)):
+            for report in sender.reports(changed_only=False, now_ms=now_ms):
+                receiver.apply_report(report, peer="b", now_ms=now_ms + 500)
+    assert not one.is_cold(KEY, now_ms=5_500)
+    assert not other.is_cold(KEY, now_ms=5_500)
+
+
+def test_silence_is_not_passed_on() -> None:
+    cold = make_cold_targets()
+    cold.record_unreachable(KEY, is_refused=False, now_ms=0)
+    assert cold.is_cold(KEY, now_ms=0)
+    assert cold.reports(changed_only=False, now_ms=0) == []
+    cold.record_unreachable(KEY, is_refused=True, now_ms=0)
+    expected = [ColdReport(target=KEY, remaining_ms=COLD_START_MS)]
+    assert cold.reports(changed_only=True, now_ms=0) == expected
