--- a/pistachiohaven/components/placement/_scheduler.py
+++ b/pistachiohaven/components/placement/_scheduler.py
@@ -4,6 +4,7 @@
 from collections.abc import Mapping, Sequence
 from dataclasses import replace
 
+from pistachiohaven.components.cold import ColdTargets
 from pistachiohaven.components.evacuation import Evacuations
 from pistachiohaven.components.fleet import Pool, Target
 from pistachiohaven.components.notice import TargetNotices
@@ -39,8 +40,9 @@
     in a part of the placements only (see `ServingOrder`). A rank that is served much
     less often than the more urgent ones gets a few slots ahead of them. `name` is that
     of this entry, which started at `started_ms`. `rate_limits` and `notices` are what
-    targets say about the requests that they take. Targets of the data centres in
-    `evacuations` get none. `regions` has the region of each data centre.
+    targets say about the requests that they take, and `cold_targets` those of which
+    this entry may only use its share. Targets of the data centres in `evacuations` get
+    none. `regions` has the region of each data centre.
     """
 
     def __init__(
@@ -52,6 +54,7 @@
         notices: TargetNotices | None = None,
         evacuations: Evacuations | None = None,
         regions: Mapping[str, str] | None = None,
+        cold_targets: ColdTargets | None = None,
     ) -> None:
         self._name = name
         self._rate_limits = rate_limits or RateLimits()
@@ -59,6 +62,7 @@
         self._evacuations = evacuations or Evacuations()
         self._regions = regions or {}
         self._is_capacity_lost = False
+        self._cold_targets = cold_targets or ColdTargets()
         self._started_ms = started_ms
         self._expected_peers = 0
         self._loads: dict[str, TargetLoad] = {}
@@ -103,6 +107,7 @@
             rate_limits=self._rate_limits,
             notices=self._notices,
             evacuations=self._evacuations,
+            cold_targets=self._cold_targets,
         )
 
     def drop_target(self, name: str) -> None:
@@ -500,7 +505,7 @@
         Peers with equally urgent requests see the same free slots, each at a different
         time. A slot that this entry freed is used by this entry. The other slots are
         assigned to the entries with waiting requests in rendezvous order, which all of
-        them compute alike.
+        them compute alike. Of a cold target, each has a share of its own.
         """
         free_slots = load.free_slots(now_ms=now_ms)
         if free_slots <= 0 or load.own_running >= self._max_own_running(
@@ -508,7 +513,7 @@
         ):
             return False
         competitors = self._peer_queues.competitors(job.pool, job.rank, now_ms=now_ms)
-        if not competitors:
+        if not competitors or load.is_cold(now_ms=now_ms):
             return True
         own_freed = load.own_freed_slots(now_ms=now_ms)
         if own_freed:
--- a/tests/components/evacuation/test_store.py
+++ b/tests/components/evacuation/test_store.py
@@ -89,6 +89,29 @@
     run_node(monkeypatch, test)
 
 
+def test_targets_that_are_taken_back_are_held_to_be_cold(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """They may have become cold shortly before."""
+
+    async def test(node: Node) -> None:
+        service = {"name": "p", "coldStartS": 3.0, "coldPerS": 14.0}
+        node.store.put("op/config", make_config(2, services=[service]))
+        await node.wait_for_version(2, timeout_ms=EVACUATION_MS)
+        put_target(node, "i-0")
+        node.store.put(KEY, {})
+        await wait_until_evacuated(node)
+        load = node.state.scheduler.load("i-0")
+        assert load is not None
+        node.store.delete(KEY)
+        await wait_until_evacuated(node, is_evacuated=False)
+        assert node.state.cold_targets.is_cold(
+            load.incarnation_hash, now_ms=node.now_ms
+        )
+
+    run_node(monkeypatch, test)
+
+
 def test_gateway_that_starts_meanwhile_knows_it_with_its_configuration(
     monkeypatch: pytest.MonkeyPatch,
 ) -> None:
