Leave crashes with another cause out of the quarantine of parts

Targets that start cold crash under too many requests, and the parts that most requests have were quarantined for it. A crash of a target that was cold, leaving or beyond its slots is no evidence; groups of crashes and parts that many requests have are compared with the crashes without them.

--- a/pistachiohaven/components/gateway/_crashes.py
+++ b/pistachiohaven/components/gateway/_crashes.py
@@ -11,17 +11,27 @@
     PartCrashes,
     PartCrashReport,
     encode_datagram,
+    short_hash,
 )
+from pistachiohaven.components.fleet import Pool, Target
+from pistachiohaven.components.placement import TargetLoad
 from pistachiohaven.components.quarantine import (
+    CrashContext,
+    CrashExplanations,
+    Explanation,
+    IsCold,
     PartQuarantine,
     PartReport,
     Quarantine,
     TargetCrash,
+    TargetPlace,
+    is_never_cold,
 )
 from pistachiohaven.const import MS_PER_S
 from pistachiohaven.helpers import Clock, ComponentLogger
 
 from ._connections import ConnectionPool
+from ._metrics import GatewayMetrics
 from .const import MAX_ASKED_PEERS, MAX_PEERS_ASKED_ALL, START_WAIT_MS
 
 REFUSED = "ConnectError"
@@ -63,7 +73,11 @@
 
 
 class CrashLink:
-    """Sender and receiver of crashes by part, with log lines for quarantines."""
+    """Sender and receiver of crashes by part, with log lines for quarantines.
+
+    `is_cold` tells of cold targets that the store does not list as such, and
+    `count_targets` returns the number of targets of a pool.
+    """
 
     def __init__(
         self,
@@ -72,12 +86,19 @@
         exchange: Exchange,
         clock: Clock,
         log: ComponentLogger,
+        metrics: GatewayMetrics,
+        count_targets: Callable[[str], int],
+        is_cold: IsCold = is_never_cold,
     ) -> None:
         self._quarantine = quarantine
         self._exchange = exchange
         self._clock = clock
         self._log = log
+        self._metrics = metrics
+        self._count_targets = count_targets
+        self._is_cold = is_cold
         self._started_ms = clock.now_ms()
+        self._explanations = CrashExplanations(now_ms=self._started_ms)
         self._has_heard = trio.Event()
         self._send: Callable[[bytes, str], None] | None = None
 
@@ -94,17 +115,94 @@
         with trio.move_on_after((START_WAIT_MS - age_ms) / MS_PER_S):
             await self._has_heard.wait()
 
+    def record_target(self, target: Target) -> None:
+        """Record that the store lists `target`."""
+        self._explanations.record_listed(
+            short_hash(target.incarnation),
+            place=TargetPlace(data_centre=target.data_centre, pool=target.pool),
+            age_ms=self._clock.wall_ms() - target.started_ms,
+            cold_remaining_ms=target.cold_remaining_ms,
+            now_ms=self._clock.now_ms(),
+        )
+
+    def record_dispatch(self, parts: tuple[int, ...], load: TargetLoad) -> None:
+        """Record a request with `parts` that is sent to a target."""
+        now_ms = self._clock.now_ms()
+        if parts:
+            self._quarantine.record_dispatch(parts, now_ms=now_ms)
+        self._explanations.record_sent(
+            load.incarnation_hash, running=load.running(now_ms=now_ms), now_ms=now_ms
+        )
+
     def record_crash(
-        self, parts: tuple[int, ...], *, target: int, is_repeat: bool
+        self,
+        parts: tuple[int, ...],
+        *,
+        load: TargetLoad,
+        pool: Pool | None,
+        is_repeat: bool,
     ) -> None:
-        """Record the crash of a target; tell peers at once if parts are suspect."""
+        """Record the crash of a target during a request with `parts`.
+
+        It counts against them unless something else explains it. Peers are told at once
+        if parts are suspect.
+        """
         now_ms = self._clock.now_ms()
+        target = load.incarnation_hash
+        context = self._context(load, pool, now_ms=now_ms)
+        self._quarantine.record_seen_crash(
+            target,
+            place=self._explanations.place(target),
+            pool_targets=self._count_targets(load.target.pool),
+            requests=context.peak_running,
+            now_ms=now_ms,
+        )
+        explanation = context.explanation()
+        if explanation is not None:
+            self._log_not_counted(load, context, explanation)
+            return
         change = self._quarantine.record_crash(
             parts, target=target, is_repeat=is_repeat, now_ms=now_ms
         )
+        if self._quarantine.is_in_group(target):
+            self._log_not_counted(load, context, Explanation.GROUP)
         self._log_begun(change.begun)
         self._send_reports(change.suspects)
 
+    def _context(
+        self, load: TargetLoad, pool: Pool | None, *, now_ms: int
+    ) -> CrashContext:
+        """Return what may explain the crash of a target."""
+        target = load.incarnation_hash
+        is_cold = self._is_cold(target) or self._explanations.is_cold(
+            target,
+            cold_start_ms=pool.cold_start_ms if pool is not None else 0,
+            now_ms=now_ms,
+        )
+        peak_running = self._explanations.peak_running(target, now_ms=now_ms)
+        return CrashContext(
+            is_planned=load.is_leaving,
+            is_cold=is_cold,
+            slots=load.target.slots,
+            peak_running=max(peak_running, load.running(now_ms=now_ms)),
+        )
+
+    def _log_not_counted(
+        self, load: TargetLoad, context: CrashContext, explanation: Explanation
+    ) -> None:
+        """Log why a crash is no evidence against parts, with the inputs."""
+        self._metrics.crashes_not_counted.labels(explanation).inc()
+        self._log.info(
+            "crash_not_counted",
+            target=load.target.name,
+            explanation=explanation,
+            is_planned=context.is_planned,
+            is_cold=context.is_cold,
+            running=context.peak_running,
+            slots=context.slots,
+            data_centre=load.target.data_centre,
+        )
+
     def record_proof(self, parts: tuple[int, ...]) -> None:
         """Record a response that proves parts to be sound; tell peers of suspects."""
         change = self._quarantine.record_proof(parts, now_ms=self._clock.now_ms())
@@ -134,11 +232,25 @@
         self._has_heard.set()
         now_ms = self._clock.now_ms()
         for report in reports:
+            self._record_seen(report.crashes, now_ms=now_ms)
             begun = self._quarantine.apply_report(
                 decode_report(report), peer=peer, now_ms=now_ms
             )
             self._log_begun(begun)
 
+    def _record_seen(self, crashes: tuple[CrashReport, ...], *, now_ms: int) -> None:
+        """Record crashes that a peer passed on, to find those that belong together."""
+        for crash in crashes:
+            place = self._explanations.place(crash.target)
+            if place is not None:
+                self._quarantine.record_seen_crash(
+                    crash.target,
+                    place=place,
+                    pool_targets=self._count_targets(place.pool),
+                    age_ms=crash.age_ms,
+                    now_ms=now_ms,
+                )
+
     def reports(self, *, changed_only: bool) -> tuple[PartCrashReport, ...]:
         """Return the reports for a message to peers."""
         reports = self._quarantine.reports(
--- a/pistachiohaven/components/gateway/_metrics.py
+++ b/pistachiohaven/components/gateway/_metrics.py
@@ -23,6 +23,12 @@
             ["pool", "end"],
             registry=self.registry,
         )
+        self.crashes_not_counted = Counter(
+            "gateway_crashes_not_counted",
+            "Requests broken by a crash that is no evidence against their parts",
+            ["explanation"],
+            registry=self.registry,
+        )
         self.first_byte_s = Histogram(
             "gateway_first_byte_seconds",
             "Time from a request's head to the first byte of its answer",
--- a/pistachiohaven/components/gateway/_request.py
+++ b/pistachiohaven/components/gateway/_request.py
@@ -248,6 +248,7 @@
         if not self._sent_count:
             budget.record_request(now_ms=state.clock.now_ms())
         self._possible_runs += 1
+        state.crash_link.record_dispatch(self._call.part_hashes, load)
         result = await dispatch.run()
         state.placer.schedule_waiting()
         if dispatch.is_sent:
@@ -284,7 +285,8 @@
         ):
             state.crash_link.record_crash(
                 parts,
-                target=load.incarnation_hash,
+                load=load,
+                pool=self._call.pool,
                 is_repeat=self._crashed_targets > 0,
             )
             self._crashed_targets += 1
--- a/pistachiohaven/components/gateway/_state.py
+++ b/pistachiohaven/components/gateway/_state.py
@@ -101,6 +101,8 @@
             exchange=self.exchange,
             clock=clock,
             log=self.log,
+            metrics=self.metrics,
+            count_targets=self._count_targets,
         )
         self.last_store_response_ms: int | None = None
         self.complete_until_ms: int | None = None
@@ -184,6 +186,10 @@
         )
         return newer_peer is None
 
+    def _count_targets(self, pool: str) -> int:
+        """Return the number of listed targets of `pool`."""
+        return sum(target.pool == pool for target in self.targets.all())
+
     def retry_budget(self, pool: str) -> WindowBudget:
         """Return the retry budget of `pool`."""
         if pool not in self._retry_budgets:
@@ -493,6 +499,7 @@
                 now_ms=now_ms,
             )
             self.scheduler.put_target(change.after)
+            self.crash_link.record_target(change.after)
         self.log.info(
             "target_changed",
             target=change.name,
--- a/pistachiohaven/components/quarantine/__init__.py
+++ b/pistachiohaven/components/quarantine/__init__.py
@@ -1,13 +1,27 @@
 """Quarantine of prompt parts with which requests crash targets."""
 
 from ._core import PartQuarantine, PartReport, Quarantine, TargetCrash
+from ._explanations import (
+    CrashContext,
+    CrashExplanations,
+    Explanation,
+    IsCold,
+    TargetPlace,
+    is_never_cold,
+)
 from .const import MAX_ACCUSED_PARTS, PROOF_AGE_MS
 
 __all__ = [
     "MAX_ACCUSED_PARTS",
     "PROOF_AGE_MS",
+    "CrashContext",
+    "CrashExplanations",
+    "Explanation",
+    "IsCold",
     "PartQuarantine",
     "PartReport",
     "Quarantine",
     "TargetCrash",
+    "TargetPlace",
+    "is_never_cold",
 ]
--- a/pistachiohaven/components/quarantine/_core.py
+++ b/pistachiohaven/components/quarantine/_core.py
@@ -4,8 +4,12 @@
 from collections.abc import Iterable, Sequence
 from dataclasses import dataclass, field
 
+from ._comparison import PartShares, SeenCrashes, chance_of
+from ._explanations import TargetPlace
 from .const import (
     CHANGE_REPORT_MS,
+    MAX_CHANCE,
+    MAX_CHANCE_OF_PROVEN,
     MAX_CHANGE_REPORTS,
     MAX_CRASHES,
     MAX_PARTS,
@@ -14,6 +18,7 @@
     MAX_REPORTS,
     MIN_CRASHES,
     MIN_CRASHES_OF_PROVEN,
+    NEARLY_ALL_SHARE,
     PROOF_TTL_MS,
     QUARANTINE_MS,
     REPORT_AGE_MS,
@@ -117,6 +122,10 @@
     crashes are needed for the next one. Crashes and proofs are passed on to peers,
     since each may see one of them only.
 
+    A crash with another explanation is no evidence. A part that many requests have is
+    in many crashes of any cause: it takes more crashes than its share of the requests
+    makes likely. A group of targets that crash together has a cause of its own.
+
     Parts are known by hashes of their ids. Times are monotonic milliseconds and never
     decrease from one call to the next.
     """
@@ -124,6 +133,8 @@
     def __init__(self) -> None:
         self._parts: dict[int, _Part] = {}
         self._proven_ms: OrderedDict[int, int] = OrderedDict()
+        self._seen = SeenCrashes()
+        self._shares = PartShares()
 
     def __len__(self) -> int:
         """Return the number of parts with crashes."""
@@ -147,6 +158,37 @@
         """
         return not any(self._is_suspect(part) for part in parts)
 
+    def record_dispatch(self, parts: Iterable[int], *, now_ms: int) -> None:
+        """Record that a request with `parts` was sent to a target."""
+        self._shares.record(parts, now_ms=now_ms)
+
+    def record_seen_crash(
+        self,
+        target: int,
+        *,
+        place: TargetPlace | None,
+        pool_targets: int,
+        requests: int = 1,
+        age_ms: int = 0,
+        now_ms: int,
+    ) -> None:
+        """Record the crash of a target, whatever explains it.
+
+        `requests` were on it; its pool has `pool_targets` targets.
+        """
+        self._seen.add(
+            target,
+            at_ms=now_ms - max(age_ms, 0),
+            requests=requests,
+            place=place,
+            pool_targets=pool_targets,
+            now_ms=now_ms,
+        )
+
+    def is_in_group(self, target: int) -> bool:
+        """Return True if many targets crashed at about the same time as `target`."""
+        return bool(self._seen.group_of(target))
+
     def record_crash(
         self, parts: Sequence[int], *, target: int, is_repeat: bool, now_ms: int
     ) -> CrashChange:
@@ -251,6 +293,7 @@
         if crash.at_ms <= self._proven_ms.get(part, crash.at_ms - 1):
             return None
         known.crashes[target] = crash
+        self._seen.add(target, at_ms=crash.at_ms, now_ms=now_ms)
         if len(known.crashes) > MAX_CRASHES:
             oldest = min(known.crashes, key=lambda each: known.crashes[each].at_ms)
             del known.crashes[oldest]
@@ -310,11 +353,14 @@
 
     def _quarantine(self, part: int, known: _Part) -> Quarantine | None:
         """Return the quarantine that follows from the crashes, which may have ended."""
-        count = _count_separate(known)
-        surplus = count - self._min_crashes(part, known)
-        if surplus < 0:
+        if _count_separate(known) < MIN_CRASHES:
+            return None
+        counted = self._without_groups(part, known)
+        count = _count_separate(counted)
+        surplus = count - self._min_crashes(part, counted)
+        if surplus < 0 or self._is_chance(part, counted, count=count):
             return None
-        last = max(known.crashes.values(), key=lambda crash: crash.at_ms)
+        last = max(counted.crashes.values(), key=lambda crash: crash.at_ms)
         return Quarantine(
             part=part,
             crashes=count,
@@ -323,6 +369,44 @@
             source=last.source,
         )
 
+    def _without_groups(self, part: int, known: _Part) -> _Part:
+        """Return `known` without crashes of groups that the part doesn't explain.
+
+        It may explain a group if most crashes in it were during requests with the part,
+        and no response has proven it to be sound.
+        """
+        is_proven = self._min_crashes(part, known) == MIN_CRASHES_OF_PROVEN
+        kept = {}
+        for target, crash in known.crashes.items():
+            group = self._seen.group_of(target)
+            without = sum(each not in known.crashes for each in group)
+            if not group or not (is_proven or 2 * without >= len(group)):
+                kept[target] = crash
+        return _Part(crashes=kept)
+
+    def _is_chance(self, part: int, counted: _Part, *, count: int) -> bool:
+        """Return True if a sound part would be in these crashes as well.
+
+        All requests on the target of a crash count, if the part is proven. One that was
+        never proven is expected in the share of the crashes that it has of requests.
+        """
+        share = self._shares.share(part)
+        if share is None:
+            return False
+        is_proven = self._min_crashes(part, counted) == MIN_CRASHES_OF_PROVEN
+        if share >= NEARLY_ALL_SHARE:
+            return is_proven or count < MIN_CRASHES_OF_PROVEN
+        from_ms = min(crash.at_ms for crash in counted.crashes.values())
+        seen = self._seen.since(from_ms)
+        without = sum(target not in counted.crashes for target in seen)
+        max_chance = MAX_CHANCE
+        if is_proven:
+            max_chance = MAX_CHANCE_OF_PROVEN
+            requests = [crash.requests for crash in seen.values()]
+            per_crash = sum(requests) / len(requests) if requests else 1.0
+            share = 1.0 - (1.0 - share) ** per_crash
+        return chance_of(count, of=count + without, share=share) > max_chance
+
     def _retention_order(self, part: int) -> tuple[int, int]:
         """Return the sort key of a part; those with lower keys are forgotten first."""
         known = self._parts[part]
--- a/pistachiohaven/components/quarantine/const.py
+++ b/pistachiohaven/components/quarantine/const.py
@@ -57,3 +57,51 @@
 
 Three times the interval at which each of 20 entries sends to all of its peers.
 """
+
+GROUP_SPAN_MS: Final = 1_000
+"""Time around a crash in which crashes of other targets belong to the same group."""
+
+MIN_GROUP_TARGETS: Final = 3
+"""Targets of one data centre that crash as a group, for a cause of their own."""
+
+MIN_POOL_GROUP_TARGETS: Final = 4
+"""The same for a pool, if they are at least `MIN_POOL_GROUP_SHARE` of its targets."""
+
+MIN_POOL_GROUP_SHARE: Final = 0.25
+
+GROUP_TTL_MS: Final = 60_000
+"""Time for which a crash is kept for the comparison with other crashes."""
+
+MAX_SEEN_CRASHES: Final = 256
+"""Crashes of targets that are kept for this comparison, the newest ones."""
+
+SHARE_WINDOW_MS: Final = 30_000
+"""Shares of parts are those of this window and the one before it."""
+
+MIN_SHARE_DISPATCHES: Final = 20
+"""Dispatches below which the share of requests with a part is unknown."""
+
+MAX_SHARE_PARTS: Final = 4_096
+"""Parts that are counted in one window, the first ones."""
+
+NEARLY_ALL_SHARE: Final = 0.9
+"""Share of requests from which those without a part are too few to compare with."""
+
+MAX_CHANCE: Final = 0.1
+"""Probability of the crashes with a sound part from which it is a suspect."""
+
+MAX_CHANCE_OF_PROVEN: Final = 0.01
+"""The same for a part that was proven to be sound lately."""
+
+OVERLOAD_SPAN_MS: Final = 1_000
+"""Time before a crash, or before the end of a cold start, that may explain it."""
+
+OVERLOAD_SLOTS_FACTOR: Final = 1.5
+"""Multiple of a target's slots from which the requests on it explain its crash.
+
+Entries exceed the slots by a few, since they place requests before they hear of each
+other's.
+"""
+
+MAX_EXPLAINED_TARGETS: Final = 1_024
+"""Incarnations of which arrivals and start are kept, the latest ones."""
