Replay cold, dark and poisoned targets, and tell peers of proofs

A gateway that lacks a proof accused rare parts that others had proven; the receiver of its report now replies with the proof.

--- a/pistachiohaven/components/gateway/_crashes.py
+++ b/pistachiohaven/components/gateway/_crashes.py
@@ -150,6 +150,10 @@
         now_ms = self._clock.now_ms()
         target = load.incarnation_hash
         context = self._context(load, pool, now_ms=now_ms)
+        explanation = context.explanation()
+        if explanation is not None:
+            self._log_not_counted(load, context, explanation)
+            return
         self._quarantine.record_seen_crash(
             target,
             place=self._explanations.place(target),
@@ -157,10 +161,6 @@
             requests=context.peak_running,
             now_ms=now_ms,
         )
-        explanation = context.explanation()
-        if explanation is not None:
-            self._log_not_counted(load, context, explanation)
-            return
         change = self._quarantine.record_crash(
             parts, target=target, is_repeat=is_repeat, now_ms=now_ms
         )
@@ -227,16 +227,43 @@
             self._send(datagram, address)
         self._exchange.record_extra_bytes(len(datagram) * len(peers))
 
-    def apply(self, reports: tuple[PartCrashReport, ...], *, peer: str) -> None:
-        """Apply what a peer passed on."""
+    def apply(
+        self,
+        reports: tuple[PartCrashReport, ...],
+        *,
+        peer: str,
+        reply_address: str | None = None,
+    ) -> None:
+        """Apply what a peer passed on.
+
+        A peer that lacks a proof which is known here is told at `reply_address`. A
+        proof that clears a suspect is passed on.
+        """
         self._has_heard.set()
         now_ms = self._clock.now_ms()
         for report in reports:
             self._record_seen(report.crashes, now_ms=now_ms)
-            begun = self._quarantine.apply_report(
-                decode_report(report), peer=peer, now_ms=now_ms
-            )
+            decoded = decode_report(report)
+            was_suspect = self._quarantine.is_suspect(report.part)
+            begun = self._quarantine.apply_report(decoded, peer=peer, now_ms=now_ms)
             self._log_begun(begun)
+            if was_suspect and not self._quarantine.is_suspect(report.part):
+                self._send_reports([report.part])
+            elif (
+                reply_address is not None
+                and report.crashes
+                and self._quarantine.has_newer_proof(decoded, now_ms=now_ms)
+            ):
+                self._send_proof(report.part, reply_address)
+
+    def _send_proof(self, part: int, address: str) -> None:
+        """Tell one peer of the newest proof of `part`."""
+        if self._send is None:
+            return
+        report = self._quarantine.report(part, now_ms=self._clock.now_ms())
+        datagram = encode_datagram(PartCrashes(reports=(encode_report(report),)))
+        self._send(datagram, address)
+        self._exchange.record_extra_bytes(len(datagram))
 
     def _record_seen(self, crashes: tuple[CrashReport, ...], *, now_ms: int) -> None:
         """Record crashes that a peer passed on, to find those that belong together."""
--- a/pistachiohaven/components/gateway/_peers.py
+++ b/pistachiohaven/components/gateway/_peers.py
@@ -311,7 +311,9 @@
 
     @_handle.register
     def _(self, message: PartCrashes, address: str) -> None:
-        self._state.crash_link.apply(message.reports, peer=address)
+        self._state.crash_link.apply(
+            message.reports, peer=address, reply_address=address
+        )
 
     @_handle.register
     def _(self, message: Update, address: str) -> None:
--- a/pistachiohaven/components/quarantine/_comparison.py
+++ b/pistachiohaven/components/quarantine/_comparison.py
@@ -34,7 +34,7 @@
 
 
 class SeenCrashes:
-    """Recent crashes of targets, whether or not they are evidence against parts.
+    """Recent crashes of targets without an explanation of their own.
 
     Targets are known by the hashes of their incarnations; times are monotonic
     milliseconds.
--- a/pistachiohaven/components/quarantine/_core.py
+++ b/pistachiohaven/components/quarantine/_core.py
@@ -172,7 +172,7 @@
         age_ms: int = 0,
         now_ms: int,
     ) -> None:
-        """Record the crash of a target, whatever explains it.
+        """Record the crash of a target that nothing explains so far.
 
         `requests` were on it; its pool has `pool_targets` targets.
         """
@@ -239,6 +239,17 @@
                 begun.append(quarantine)
         return begun
 
+    def has_newer_proof(self, report: PartReport, *, now_ms: int) -> bool:
+        """Return True if the sender of `report` lacks a proof that is known here."""
+        proven_ms = self._proven_ms.get(report.part)
+        if proven_ms is None or now_ms - proven_ms >= PROOF_TTL_MS:
+            return False
+        return report.proven_age_ms is None or report.proven_age_ms >= PROOF_TTL_MS
+
+    def is_suspect(self, part: int) -> bool:
+        """Return True if one more crash would put `part` in quarantine."""
+        return self._is_suspect(part)
+
     def report(self, part: int, *, now_ms: int) -> PartReport:
         """Return what is known of `part`."""
         known = self._parts.get(part, _Part())
--- /dev/null
+++ b/tests/components/quarantine/test_innocent_parts.py
@@ -0,0 +1,97 @@
+"""Crashes that have a cause other than a part of a prompt."""
+
+import pytest
+
+from pistachiohaven.components.exchange import short_hash
+
+from .crash_replay import POISON, Gateway, Replay
+
+CRASHES_BEFORE_BOUND = 5
+"""The operators' bound: a part that crashes targets is found before this crash."""
+
+POISON_EVERY_MS = 700
+"""Its requests come one after the other; crashes within 500 ms count as one."""
+
+COLD_LOAD_PER_S = 720
+"""Load at which each cold target gets more than it tolerates."""
+
+
+def return_cold(replay: Replay) -> None:
+    """Let the targets of a data centre return cold, under too much load."""
+    replay.run(5)
+    for engine in list(replay.engines):
+        if engine.target.data_centre == "one":
+            replay.engines.remove(engine)
+            replay.return_later(engine.target)
+    replay.per_s = COLD_LOAD_PER_S
+
+
+@pytest.mark.parametrize("gateways", [11, 30, 68])
+def test_cold_targets_accuse_no_part(gateways: int) -> None:
+    replay = Replay(seed=gateways, gateways=gateways)
+    return_cold(replay)
+    replay.run(15)
+    assert replay.crashes >= 18
+    assert replay.quarantined == set()
+    assert replay.refused == 0
+
+
+@pytest.mark.parametrize("gateways", [11, 30, 68])
+def test_part_is_found_beside_cold_crashes(gateways: int) -> None:
+    replay = Replay(seed=gateways, gateways=gateways)
+    return_cold(replay)
+    replay.poison_every_ms = POISON_EVERY_MS
+    replay.run(20)
+    assert replay.quarantined == {POISON}
+    assert replay.poison_crashes < CRASHES_BEFORE_BOUND
+    assert replay.refused == 0
+
+
+@pytest.mark.parametrize("gateways", [11, 30, 68])
+def test_part_is_found_at_cold_targets_as_well(gateways: int) -> None:
+    replay = Replay(seed=gateways, gateways=gateways)
+    return_cold(replay)
+    replay.poison_every_ms = POISON_EVERY_MS
+    replay.is_poison_anywhere = True
+    replay.run(20)
+    assert replay.quarantined == {POISON}
+    assert replay.poison_crashes < CRASHES_BEFORE_BOUND
+
+
+@pytest.mark.parametrize("gateways", [11, 30, 68])
+def test_dark_data_centre_accuses_no_part(gateways: int) -> None:
+    """Its targets are found to have ended one after the other, within two seconds."""
+    replay = Replay(seed=gateways, gateways=gateways)
+    replay.run(5)
+    for engine in [each for each in replay.engines if each.target.name < "18"]:
+        replay.crash(engine)
+        replay.run(0.1)
+    replay.run(10)
+    assert replay.quarantined == set()
+    assert replay.refused == 0
+
+
+@pytest.mark.parametrize("loss_share", [0.0, 0.2])
+def test_common_part_beside_a_rare_one_is_not_accused(loss_share: float) -> None:
+    """Also if a fifth of the messages between gateways is lost."""
+    replay = Replay(seed=3, gateways=11, loss_share=loss_share)
+    replay.poison_first_part = short_hash("a")
+    replay.run(5)
+    replay.poison_every_ms = POISON_EVERY_MS
+    replay.run(20)
+    assert replay.quarantined == {POISON}
+    assert replay.poison_crashes < CRASHES_BEFORE_BOUND
+    assert replay.refused == 0
+
+
+def test_restarted_gateway_learns_of_the_part() -> None:
+    replay = Replay(seed=4, gateways=11)
+    replay.run(5)
+    replay.poison_every_ms = POISON_EVERY_MS
+    while replay.poison_crashes < 2:
+        replay.run(0.1)
+    replay.gateways[0] = Gateway(replay, "0")
+    replay.run(20)
+    assert replay.quarantined == {POISON}
+    assert replay.poison_crashes < CRASHES_BEFORE_BOUND
+    assert replay.refused == 0
