--- a/pistachiohaven/components/gateway/_crashes.py
+++ b/pistachiohaven/components/gateway/_crashes.py
@@ -32,7 +32,12 @@
 
 from ._connections import ConnectionPool
 from ._metrics import GatewayMetrics
-from .const import MAX_ASKED_PEERS, MAX_PEERS_ASKED_ALL, START_WAIT_MS
+from .const import (
+    MAX_ASKED_PEERS,
+    MAX_PEERS_ASKED_ALL,
+    MAX_PEERS_ASKED_FOR_PROOF,
+    START_WAIT_MS,
+)
 
 REFUSED = "ConnectError"
 
@@ -210,8 +215,12 @@
             self._log.info("part_released", part=format_part(part))
         self._send_reports(change.suspects)
 
-    def _send_reports(self, parts: list[int]) -> None:
-        """Send what is known of `parts` to peers without waiting."""
+    def _send_reports(self, parts: list[int], *, max_peers: int | None = None) -> None:
+        """Send what is known of `parts` to peers without waiting.
+
+        `max_peers` of them, other ones each time; as many as are told of crashes if it
+        is None.
+        """
         if not parts or self._send is None:
             return
         now_ms = self._clock.now_ms()
@@ -220,8 +229,11 @@
             for part in parts
         )
         datagram = encode_datagram(PartCrashes(reports=reports))
-        peers = self._exchange.peers_in_order(str(parts[0]), now_ms=now_ms)
-        if len(peers) > MAX_PEERS_ASKED_ALL:
+        key = str(parts[0]) if max_peers is None else f"{parts[0]}/{now_ms}"
+        peers = self._exchange.peers_in_order(key, now_ms=now_ms)
+        if max_peers is not None:
+            peers = peers[:max_peers]
+        elif len(peers) > MAX_PEERS_ASKED_ALL:
             peers = peers[:MAX_ASKED_PEERS]
         for address in peers:
             self._send(datagram, address)
@@ -237,7 +249,8 @@
         """Apply what a peer passed on.
 
         A peer that lacks a proof which is known here is told at `reply_address`. A
-        proof that clears a suspect is passed on.
+        proof that clears a suspect is passed on, and for a new suspect some peers are
+        asked for proofs in the same way, by what is known here.
         """
         self._has_heard.set()
         now_ms = self._clock.now_ms()
@@ -247,8 +260,11 @@
             was_suspect = self._quarantine.is_suspect(report.part)
             begun = self._quarantine.apply_report(decoded, peer=peer, now_ms=now_ms)
             self._log_begun(begun)
-            if was_suspect and not self._quarantine.is_suspect(report.part):
+            is_suspect = self._quarantine.is_suspect(report.part)
+            if was_suspect and not is_suspect:
                 self._send_reports([report.part])
+            elif is_suspect and not was_suspect and not begun:
+                self._send_reports([report.part], max_peers=MAX_PEERS_ASKED_FOR_PROOF)
             elif (
                 reply_address is not None
                 and report.crashes
--- a/pistachiohaven/components/gateway/const.py
+++ b/pistachiohaven/components/gateway/const.py
@@ -167,3 +167,6 @@
 
 QUOTA_CHECK_INTERVAL_MS: Final = 25
 """Time after which a request that waits for peers' reports looks again."""
+
+MAX_PEERS_ASKED_FOR_PROOF: Final = 2
+"""Peers that are asked whether they have a proof of a part that becomes a suspect."""
--- a/pistachiohaven/components/quarantine/_core.py
+++ b/pistachiohaven/components/quarantine/_core.py
@@ -100,12 +100,14 @@
     """Crashes by hash of the target since the last proof.
 
     `changed_ms` is when this entry last learnt something. `was_quarantined` is True
-    from the first quarantine to the next proof.
+    from the first quarantine to the next proof. `was_passed_on` is True if peers were
+    told of the part, so that they need the proofs as well.
     """
 
     crashes: dict[int, _Crash] = field(default_factory=dict)
     changed_ms: int = 0
     was_quarantined: bool = False
+    was_passed_on: bool = False
 
 
 SOURCE_OWN = "own"
@@ -279,13 +281,18 @@
         parts = [
             part
             for part, known in self._parts.items()
-            if self._min_crashes(part, known) - _count_separate(known) < MIN_CRASHES
+            if (
+                known.was_passed_on
+                or self._min_crashes(part, known) - _count_separate(known) < MIN_CRASHES
+            )
             and (
                 now_ms - known.changed_ms < max_age_ms
                 or (not changed_only and self.find([part], now_ms=now_ms) is not None)
             )
         ]
         parts.sort(key=self._retention_order, reverse=True)
+        for part in parts[:max_parts]:
+            self._parts[part].was_passed_on = True
         return [self.report(part, now_ms=now_ms) for part in parts[:max_parts]]
 
     def _add_crash(
@@ -337,6 +344,8 @@
             if crash.at_ms > proven_ms
         }
         if len(kept) == len(known.crashes):
+            if known.was_passed_on:
+                known.changed_ms = now_ms
             return False
         known.crashes = kept
         known.changed_ms = now_ms
--- a/tests/components/quarantine/test_innocent_parts.py
+++ b/tests/components/quarantine/test_innocent_parts.py
@@ -1,8 +1,23 @@
 """Crashes that have a cause other than a part of a prompt."""
 
+from dataclasses import replace
+from typing import Any
+
 import pytest
 
 from pistachiohaven.components.exchange import short_hash
+from pistachiohaven.components.quarantine import (
+    CrashContext,
+    CrashExplanations,
+    Explanation,
+    PartQuarantine,
+    TargetPlace,
+)
+from pistachiohaven.components.quarantine.const import (
+    MIN_CRASHES,
+    MIN_SHARE_DISPATCHES,
+    SEPARATE_AFTER_MS,
+)
 
 from .crash_replay import POISON, Gateway, Replay
 
@@ -95,3 +110,46 @@
     assert replay.quarantined == {POISON}
     assert replay.poison_crashes < CRASHES_BEFORE_BOUND
     assert replay.refused == 0
+
+
+@pytest.mark.parametrize(
+    ("changes", "explanation"),
+    [
+        ({}, None),
+        ({"is_planned": True}, Explanation.PLANNED),
+        ({"is_cold": True}, Explanation.COLD),
+        # Entries that do not know of each other's requests yet exceed the slots.
+        ({"peak_running": 12}, None),
+        ({"peak_running": 20}, Explanation.OVERLOADED),
+    ],
+)
+def test_other_causes_explain_a_crash(
+    changes: dict[str, Any], explanation: Explanation | None
+) -> None:
+    context = CrashContext(is_planned=False, is_cold=False, slots=9, peak_running=9)
+    assert replace(context, **changes).explanation() is explanation
+
+
+def test_target_is_cold_by_its_start_and_by_what_it_says() -> None:
+    place = TargetPlace(data_centre="one", pool="p")
+    known = CrashExplanations(now_ms=0)
+    known.record_listed(1, place=place, age_ms=60_000, cold_remaining_ms=0, now_ms=50)
+    known.record_listed(
+        2, place=place, age_ms=60_000, cold_remaining_ms=0, now_ms=10_000
+    )
+    assert not known.is_cold(1, cold_start_ms=3_000, now_ms=10_000)
+    assert known.is_cold(2, cold_start_ms=3_000, now_ms=11_000)
+    assert not known.is_cold(2, cold_start_ms=0, now_ms=11_000)
+    known.record_listed(1, place=place, age_ms=0, cold_remaining_ms=900, now_ms=20_000)
+    assert known.is_cold(1, cold_start_ms=3_000, now_ms=20_500)
+    assert not known.is_cold(1, cold_start_ms=3_000, now_ms=25_000)
+
+
+def test_part_of_nearly_all_requests_has_no_verdict_from_few_crashes() -> None:
+    quarantine = PartQuarantine()
+    for _ in range(MIN_SHARE_DISPATCHES):
+        quarantine.record_dispatch([1], now_ms=0)
+    for number in range(MIN_CRASHES):
+        now_ms = number * SEPARATE_AFTER_MS
+        quarantine.record_crash([1], target=number, is_repeat=False, now_ms=now_ms)
+    assert quarantine.find([1], now_ms=now_ms) is None
