--- a/tests/components/quarantine/crash_replay.py
+++ b/tests/components/quarantine/crash_replay.py
@@ -194,15 +194,16 @@
         if gateway.quarantine.find(parts, now_ms=self.now_ms) is not None:
             self.refused += not is_poison
             return
-        engine = self.rng.choice(
-            [
-                each
-                for each in self.engines
-                if not is_poison
-                or self.is_poison_anywhere
-                or each.cold_until_ms + 1_000 < self.now_ms
-            ]
-        )
+        engines = [
+            each
+            for each in self.engines
+            if not is_poison
+            or self.is_poison_anywhere
+            or each.cold_until_ms + 1_000 < self.now_ms
+        ]
+        if not engines:
+            return
+        engine = self.rng.choice(engines)
         gateway.link.record_dispatch(parts, engine.load)
         engine.requests.append((self.now_ms, gateway, parts))
         engine.arrivals.append(self.now_ms)
--- a/tests/components/quarantine/test_innocent_parts.py
+++ b/tests/components/quarantine/test_innocent_parts.py
@@ -31,20 +31,23 @@
 """Load at which each cold target gets more than it tolerates."""
 
 
-def return_cold(replay: Replay) -> None:
-    """Let the targets of a data centre return cold, under too much load."""
+def return_cold(replay: Replay, data_centres: tuple[str, ...] = ("one",)) -> None:
+    """Let the targets of data centres return cold, under too much load."""
     replay.run(5)
     for engine in list(replay.engines):
-        if engine.target.data_centre == "one":
+        if engine.target.data_centre in data_centres:
             replay.engines.remove(engine)
             replay.return_later(engine.target)
     replay.per_s = COLD_LOAD_PER_S
 
 
+@pytest.mark.parametrize("data_centres", [("one",), ("one", "two")])
 @pytest.mark.parametrize("gateways", [11, 30, 68])
-def test_cold_targets_accuse_no_part(gateways: int) -> None:
+def test_cold_targets_accuse_no_part(
+    gateways: int, data_centres: tuple[str, ...]
+) -> None:
     replay = Replay(seed=gateways, gateways=gateways)
-    return_cold(replay)
+    return_cold(replay, data_centres)
     replay.run(15)
     assert replay.crashes >= 18
     assert replay.quarantined == set()
