Find parts of most requests before the fifth crash

The comparison by share took seven crashes for a part without any proof in seven of ten requests. Four suffice now.

--- a/pistachiohaven/components/quarantine/_core.py
+++ b/pistachiohaven/components/quarantine/_core.py
@@ -12,6 +12,7 @@
     MAX_CHANCE_OF_PROVEN,
     MAX_CHANGE_REPORTS,
     MAX_CRASHES,
+    MAX_CRASHES_OF_UNPROVEN,
     MAX_PARTS,
     MAX_PROVEN_PARTS,
     MAX_QUARANTINE_MS,
@@ -416,6 +417,8 @@
         is_proven = self._min_crashes(part, counted) == MIN_CRASHES_OF_PROVEN
         if share >= NEARLY_ALL_SHARE:
             return is_proven or count < MIN_CRASHES_OF_PROVEN
+        if not is_proven and count >= MAX_CRASHES_OF_UNPROVEN:
+            return False
         from_ms = min(crash.at_ms for crash in counted.crashes.values())
         seen = self._seen.since(from_ms)
         without = sum(target not in counted.crashes for target in seen)
--- a/pistachiohaven/components/quarantine/const.py
+++ b/pistachiohaven/components/quarantine/const.py
@@ -11,6 +11,12 @@
 Nearly all requests share such parts, so that they are in nearly all crashes.
 """
 
+MAX_CRASHES_OF_UNPROVEN: Final = 4
+"""Separate crashes from which no chance clears a part that was never proven.
+
+A part that crashes targets must be found before the fifth crash.
+"""
+
 PROOF_TTL_MS: Final = 60_000
 """Time for which a response proves that the parts of its prompt are sound."""
 
--- a/tests/components/quarantine/test_innocent_parts.py
+++ b/tests/components/quarantine/test_innocent_parts.py
@@ -148,6 +148,16 @@
     assert not known.is_cold(1, cold_start_ms=3_000, now_ms=25_000)
 
 
+def test_part_of_most_requests_is_found_before_the_fifth_crash() -> None:
+    quarantine = PartQuarantine()
+    for number in range(MIN_SHARE_DISPATCHES):
+        quarantine.record_dispatch([1] if number % 4 else [2], now_ms=0)
+    for number in range(CRASHES_BEFORE_BOUND - 1):
+        now_ms = number * SEPARATE_AFTER_MS
+        quarantine.record_crash([1], target=number, is_repeat=False, now_ms=now_ms)
+    assert quarantine.find([1], now_ms=now_ms) is not None
+
+
 def test_part_of_nearly_all_requests_has_no_verdict_from_few_crashes() -> None:
     quarantine = PartQuarantine()
     for _ in range(MIN_SHARE_DISPATCHES):
