List a crashing part at cold targets as known red

If all targets are cold, their crashes are explained by that, and a part that really crashes them is found after 8 crashes in the replay instead of before the fifth. The bound stays.

Run: tests/components/quarantine, 39 passed, the new test failed.

--- a/tests/components/quarantine/test_innocent_parts.py
+++ b/tests/components/quarantine/test_innocent_parts.py
@@ -31,14 +31,19 @@
 """Load at which each cold target gets more than it tolerates."""
 
 
-def return_cold(replay: Replay, data_centres: tuple[str, ...] = ("one",)) -> None:
-    """Let the targets of data centres return cold, under too much load."""
+def return_cold(
+    replay: Replay,
+    data_centres: tuple[str, ...] = ("one",),
+    *,
+    load_per_s: int = COLD_LOAD_PER_S,
+) -> None:
+    """Let the targets of data centres return cold, under a load from then on."""
     replay.run(5)
     for engine in list(replay.engines):
         if engine.target.data_centre in data_centres:
             replay.engines.remove(engine)
             replay.return_later(engine.target)
-    replay.per_s = COLD_LOAD_PER_S
+    replay.per_s = load_per_s
 
 
 @pytest.mark.parametrize("data_centres", [("one",), ("one", "two")])
@@ -166,3 +171,17 @@
         now_ms = number * SEPARATE_AFTER_MS
         quarantine.record_crash([1], target=number, is_repeat=False, now_ms=now_ms)
     assert quarantine.find([1], now_ms=now_ms) is None
+
+
+@pytest.mark.known_red
+def test_part_is_found_while_all_targets_are_cold() -> None:
+    """They get fewer requests than they tolerate, so that only the part ends them."""
+    replay = Replay(seed=1, gateways=11)
+    replay.per_s = 180
+    return_cold(replay, ("one", "two"), load_per_s=180)
+    replay.run(3)
+    replay.poison_every_ms = POISON_EVERY_MS
+    replay.is_poison_anywhere = True
+    replay.run(15)
+    assert replay.quarantined == {POISON}
+    assert replay.poison_crashes < CRASHES_BEFORE_BOUND
