--- a/pistachiohaven/components/cold/_core.py
+++ b/pistachiohaven/components/cold/_core.py
@@ -309,6 +309,14 @@
         self._check_pause(now_ms=now_ms)
         return self._find_limited(key, now_ms=now_ms) is not None
 
+    def has_started_lately(self, key: int, *, now_ms: int) -> bool:
+        """Return True if the target is cold, other than for being out of reach now.
+
+        A target that has just crashed is out of reach; that does not explain its crash.
+        """
+        cold = self._find_limited(key, now_ms=now_ms)
+        return cold is not None and cold.until_ms > now_ms
+
     def available_requests(self, key: int, *, now_ms: int) -> int | None:
         """Return how many requests may be placed there now, None without a limit."""
         self._check_pause(now_ms=now_ms)
--- a/pistachiohaven/components/gateway/_request.py
+++ b/pistachiohaven/components/gateway/_request.py
@@ -252,6 +252,7 @@
         if not self._sent_count:
             budget.record_request(now_ms=state.clock.now_ms())
         self._possible_runs += 1
+        state.crash_link.record_dispatch(self._call.part_hashes, load)
         try:
             result = await dispatch.run()
         finally:
@@ -292,7 +293,8 @@
         ):
             state.crash_link.record_crash(
                 parts,
-                target=load.incarnation_hash,
+                load=load,
+                pool=self._call.pool,
                 is_repeat=self._crashed_targets > 0,
             )
             self._crashed_targets += 1
--- a/pistachiohaven/components/gateway/_state.py
+++ b/pistachiohaven/components/gateway/_state.py
@@ -128,6 +128,11 @@
             exchange=self.exchange,
             clock=clock,
             log=self.log,
+            metrics=self.metrics,
+            count_targets=self._count_targets,
+            is_cold=lambda target: self.cold_targets.has_started_lately(
+                target, now_ms=clock.now_ms()
+            ),
         )
         self.last_store_response_ms: int | None = None
         self.complete_until_ms: int | None = None
@@ -249,6 +254,10 @@
         )
         return newer_peer is None
 
+    def _count_targets(self, pool: str) -> int:
+        """Return the number of listed targets of `pool`."""
+        return sum(target.pool == pool for target in self.targets.all())
+
     def retry_budget(self, pool: str) -> WindowBudget:
         """Return the retry budget of `pool`."""
         if pool not in self._retry_budgets:
@@ -699,6 +708,7 @@
             )
             self.scheduler.put_target(change.after)
             self._log_cold(self.cold_targets.put_target(change.after, now_ms=now_ms))
+            self.crash_link.record_target(change.after)
         self.log.info(
             "target_changed",
             target=change.name,
--- a/tests/components/cold/test_core.py
+++ b/tests/components/cold/test_core.py
@@ -57,6 +57,15 @@
     assert not cold.is_cold(KEY, now_ms=3_000 + COLD_START_MS)
 
 
+def test_crash_of_a_warm_target_is_not_explained_by_its_being_out_of_reach() -> None:
+    cold = make_cold_targets()
+    cold.record_unreachable(KEY, is_refused=True, now_ms=0)
+    assert cold.is_cold(KEY, now_ms=1)
+    assert not cold.has_started_lately(KEY, now_ms=1)
+    cold.record_alive(KEY, now_ms=1_000)
+    assert cold.has_started_lately(KEY, now_ms=1_001)
+
+
 def test_reports_do_not_prolong_the_time_of_both_entries() -> None:
     """Each delayed report would lengthen the time that the other entry passes on."""
     one, other = make_cold_targets(), make_cold_targets()
