Hedge slow repeatable requests within a limit

A few slow targets spoil the slowest answers of requests that may be repeated. A request slower than nearly all of its route gets a second dispatch; the first complete response wins. Off unless hedge_ratio is set. No test of the hedge itself yet.

--- a/pistachiohaven/components/gateway/_dispatch.py
+++ b/pistachiohaven/components/gateway/_dispatch.py
@@ -40,6 +40,9 @@
 NOT_RUN_STATUSES = frozenset({408, 421, 429, 503})
 """Statuses from which a caller concludes that its request has not run."""
 
+NOT_RUN_FAILURES = frozenset({Failure.NOT_SENT, Failure.NEVER_RAN})
+"""Failures after which it is certain that the target did not run the request."""
+
 
 class StreamSink(Protocol):
     """Receiver of the events of a stream, on behalf of the caller."""
--- a/pistachiohaven/components/gateway/_metrics.py
+++ b/pistachiohaven/components/gateway/_metrics.py
@@ -23,6 +23,24 @@
             ["pool", "end"],
             registry=self.registry,
         )
+        self.hedges = Counter(
+            "gateway_hedges",
+            "Hedges by how they ended; all of them are also counted as sent",
+            ["pool", "end"],
+            registry=self.registry,
+        )
+        self.hedges_denied = Counter(
+            "gateway_hedges_denied",
+            "Slow requests that were not hedged, by reason",
+            ["pool", "reason"],
+            registry=self.registry,
+        )
+        self.hedge_wasted_ms = Counter(
+            "gateway_hedge_wasted_milliseconds",
+            "Time for which targets worked on hedged requests without being needed",
+            ["pool"],
+            registry=self.registry,
+        )
         self.first_byte_s = Histogram(
             "gateway_first_byte_seconds",
             "Time from a request's head to the first byte of its answer",
--- a/pistachiohaven/components/gateway/_request.py
+++ b/pistachiohaven/components/gateway/_request.py
@@ -20,12 +20,15 @@
 from ._connections import ConnectionPool
 from ._crashes import format_part
 from ._dispatch import (
+    NOT_RUN_FAILURES,
     NOT_RUN_STATUSES,
     CompletedStream,
     CompleteResponse,
     Dispatch,
+    DispatchResult,
     FailedDispatch,
 )
+from ._hedged import HedgedDispatch
 from ._quota import charge_quota
 from ._response import ResponseWriter
 from ._state import GatewayState
@@ -76,6 +79,7 @@
         self._resumption_pauses = 0
         self._crashed_targets = 0
         self._target_error: CompleteResponse | None = None
+        self._hedged: HedgedDispatch | None = None
         self.reason: Reason | None = None
         self.version: str | None = None
 
@@ -144,14 +148,14 @@
                 self._release_slot(decision.target)
                 continue
             self._log_placed(decision)
-            result = await self._dispatch(decision.target)
+            result, target = await self._dispatch(decision.target)
             if isinstance(result, CompleteResponse):
                 await self._response.send_complete(result)
                 return
             if isinstance(result, CompletedStream):
                 await self._response.end_stream()
                 return
-            if not await self._prepare_resend(result, decision.target):
+            if not await self._prepare_resend(result, target):
                 await self._respond_to_failure(result)
                 return
 
@@ -222,17 +226,48 @@
             version=version,
         )
 
-    async def _dispatch(
-        self, target: str
-    ) -> CompleteResponse | CompletedStream | FailedDispatch:
-        """Dispatch the request to `target` once and return the result."""
+    async def _dispatch(self, target: str) -> tuple[DispatchResult, str]:
+        """Dispatch the request to `target` and return the result.
+
+        If the request is slow, a second target may get it as well; the result is then
+        that of the target that is returned with it.
+        """
         state = self._state
         load = state.scheduler.load(target)
         if load is None:
-            return FailedDispatch(failure=Failure.NOT_SENT, detail="target gone")
-        if self._job.version not in (None, load.target.version):
-            return FailedDispatch(failure=Failure.NOT_SENT, detail="version changed")
-        budget = state.retry_budget(self._call.pool_name)
+            detail = "target gone"
+        elif self._job.version not in (None, load.target.version):
+            detail = "version changed"
+        elif not HedgedDispatch.may_hedge(self._call, state.hedge_policy):
+            return await self._run_dispatch(load), target
+        else:
+            return await self._run_hedged(load)
+        return FailedDispatch(failure=Failure.NOT_SENT, detail=detail), target
+
+    async def _run_hedged(self, load: TargetLoad) -> tuple[DispatchResult, str]:
+        """Run one dispatch, and a hedge unless the request has had one already."""
+        self._hedged = HedgedDispatch(
+            state=self._state,
+            call=self._call,
+            job=self._job,
+            send=self._run_dispatch,
+            on_failure=lambda failed, failed_load: self._record_failed(
+                failed, failed_load.target.name, failed_load.target.version
+            ),
+            possible_runs=lambda: self._possible_runs,
+            has_caller_left=self._response.has_caller_left,
+            is_hedged=self._hedged is not None and self._hedged.is_hedged,
+        )
+        result, winner = await self._hedged.run(load)
+        self.version = winner.target.version
+        return result, winner.target.name
+
+    async def _run_dispatch(
+        self, load: TargetLoad, *, is_hedge: bool = False
+    ) -> DispatchResult:
+        """Run one dispatch to the target of `load` and return its result."""
+        state = self._state
+        now_ms = state.clock.now_ms()
         self.version = load.target.version
         dispatch = Dispatch(
             state=state,
@@ -241,12 +276,14 @@
             load=load,
             pool=self._pool,
             sink=self._response,
-            may_move=partial(self._may_move, target),
+            may_move=partial(self._may_move, load.target.name),
             on_first_event=partial(self._record_origin, load.target.version),
             on_proof=partial(state.crash_link.record_proof, self._call.part_hashes),
         )
-        if not self._sent_count:
-            budget.record_request(now_ms=state.clock.now_ms())
+        if not self._sent_count and not is_hedge:
+            pool_name = self._call.pool_name
+            state.retry_budget(pool_name).record_request(now_ms=now_ms)
+            state.hedge_policy.record_request(pool_name, now_ms=now_ms)
         self._possible_runs += 1
         result = await dispatch.run()
         state.placer.schedule_waiting()
@@ -256,7 +293,7 @@
             await self._record_parts(dispatch, result, load)
         outcome = result.failure if isinstance(result, FailedDispatch) else "answered"
         state.metrics.dispatches.labels(self._call.pool_name, outcome).inc()
-        if isinstance(result, FailedDispatch) and result.failure in _NOT_RUN_FAILURES:
+        if isinstance(result, FailedDispatch) and result.failure in NOT_RUN_FAILURES:
             self._possible_runs -= 1
         return result
 
@@ -295,26 +332,11 @@
         Consumes retry budget unless `_may_move` has already done so. A rejection does
         not end a started response: it waits for the budget and for any target.
         """
-        if (
-            failed.response is not None
-            and failed.response.status not in NOT_RUN_STATUSES
-        ):
-            self._target_error = failed.response
-        state = self._state
-        state.log.info(
-            "dispatch_failed",
-            request_id=self._call.head.attempt_id,
-            target=target,
-            version=self.version,
-            failure=failed.failure,
-            detail=failed.detail,
-            sent=self._sent_count,
-            last_event_id=self._response.last_event_id,
-        )
+        self._record_failed(failed, target, self.version)
         if not self._may_resend(failed.failure):
             return False
         is_rejected_resumption = (
-            self._response.is_started and failed.failure in _NOT_RUN_FAILURES
+            self._response.is_started and failed.failure in NOT_RUN_FAILURES
         )
         if is_rejected_resumption:
             await self._pause_resumption()
@@ -331,6 +353,26 @@
         self._job.has_response_started = self._response.is_started
         return True
 
+    def _record_failed(
+        self, failed: FailedDispatch, target: str, version: str | None
+    ) -> None:
+        """Log a failed dispatch and keep the target's own error, if there is one."""
+        if (
+            failed.response is not None
+            and failed.response.status not in NOT_RUN_STATUSES
+        ):
+            self._target_error = failed.response
+        self._state.log.info(
+            "dispatch_failed",
+            request_id=self._call.head.attempt_id,
+            target=target,
+            version=version,
+            failure=failed.failure,
+            detail=failed.detail,
+            sent=self._sent_count,
+            last_event_id=self._response.last_event_id,
+        )
+
     async def _pause_resumption(self) -> None:
         """Wait before a rejected response is resumed again, longer each time.
 
@@ -347,6 +389,8 @@
 
         Consumes retry budget if so.
         """
+        if self._hedged is not None and self._hedged.is_racing:
+            return False
         state = self._state
         now_ms = state.clock.now_ms()
         if not state.scheduler.has_alternative(self._job, target, now_ms=now_ms):
@@ -567,8 +611,6 @@
     """Failure to complete a response that has started."""
 
 
-_NOT_RUN_FAILURES = frozenset({Failure.NOT_SENT, Failure.NEVER_RAN})
-
 _FAILURE_REASONS = {
     Failure.NOT_SENT: Reason.CONNECT_FAILED,
     Failure.NEVER_RAN: Reason.OVERLOAD,
--- a/pistachiohaven/components/gateway/_state.py
+++ b/pistachiohaven/components/gateway/_state.py
@@ -16,6 +16,7 @@
     TargetChange,
     TargetList,
 )
+from pistachiohaven.components.hedge import HedgePolicy, HedgeTerms
 from pistachiohaven.components.notice import (
     SOURCE_TARGET,
     LeavingNotice,
@@ -109,6 +110,7 @@
         self.request_scopes: set[trio.CancelScope] = set()
         self.removed_addresses: list[str] = []
         self._retry_budgets: dict[str, WindowBudget] = {}
+        self.hedge_policy = HedgePolicy(terms=_hedge_terms(settings))
 
     def reload(self, settings: GatewaySettings) -> None:
         """Apply new settings, except addresses, which need a restart.
@@ -130,6 +132,7 @@
             for field in retry_fields
         ):
             self._retry_budgets.clear()
+        self.hedge_policy.configure(_hedge_terms(settings))
 
     # Readiness
 
@@ -517,6 +520,15 @@
             self._apply_leaving(load, notice)
 
 
+def _hedge_terms(settings: GatewaySettings) -> HedgeTerms:
+    return HedgeTerms(
+        ratio=settings.hedge_ratio,
+        percentile=settings.hedge_percentile,
+        min_delay_ms=settings.hedge_min_delay_ms,
+        window_ms=int(settings.hedge_window_s * MS_PER_S),
+    )
+
+
 def _describe_state(change: TargetChange) -> str:
     """Return the target's state for the logs."""
     if change.after is None:
--- a/pistachiohaven/components/placement/_job.py
+++ b/pistachiohaven/components/placement/_job.py
@@ -1,6 +1,7 @@
 """Requests that wait for a slot, and the scheduling decisions about them."""
 
 from dataclasses import dataclass, field
+from enum import StrEnum
 
 from pistachiohaven.core import Reason
 
@@ -73,4 +74,13 @@
     served_share: float
 
 
+class NoSpareSlot(StrEnum):
+    """Reason why no slot can be spared for a request that runs already."""
+
+    REQUESTS_WAIT = "requests_wait"
+    TARGETS_FULL = "targets_full"
+    NO_SLOT = "no_slot"
+    NOT_ADMITTED = "not_admitted"
+
+
 Decision = Placement | Refusal
--- a/pistachiohaven/components/placement/_load.py
+++ b/pistachiohaven/components/placement/_load.py
@@ -28,6 +28,7 @@
     MIN_SAMPLE_TOKENS,
     OWN_SLOT_PRIORITY_MS,
     PEER_LOAD_TTL_MS,
+    REJECTION_MEMORY_MS,
     SPEED_EWMA_WEIGHT,
     SPEED_FACTOR_BOUNDS,
 )
@@ -108,6 +109,7 @@
         self._excluded_until_ms = 0
         self._is_probing = False
         self._freed_at_ms: deque[int] = deque()
+        self._rejected_at_ms: int | None = None
 
     # Current load and speed
 
@@ -230,6 +232,13 @@
         """Return True if the last request failed and none has succeeded since."""
         return self._failures_in_row > 0
 
+    def has_rejected_lately(self, *, now_ms: int) -> bool:
+        """Return True if it rejected a request within `REJECTION_MEMORY_MS`."""
+        return (
+            self._rejected_at_ms is not None
+            and now_ms - self._rejected_at_ms < REJECTION_MEMORY_MS
+        )
+
     # Availability and expected times
 
     @property
@@ -425,6 +434,16 @@
         """Remove a request that ended for a reason unrelated to the target."""
         self._running.pop(request_id, None)
 
+    def record_overtaken(self, request_id: str, *, now_ms: int) -> None:
+        """Remove a request that is cancelled since another target responded first.
+
+        It would have taken longer than until now, which counts if that is more than
+        usual. Otherwise a slow target whose requests are all overtaken would seem fast.
+        """
+        running = self._running.pop(request_id, None)
+        if running is not None and now_ms - running.sent_ms > self.service_ms:
+            self._service_ms.add(now_ms - running.sent_ms)
+
     def record_failure(
         self, request_id: str, *, has_responded: bool, now_ms: int
     ) -> None:
@@ -455,6 +474,7 @@
     def record_rejection(self, request_id: str, *, now_ms: int) -> None:
         """Record that the target rejected a request because it has no free slot."""
         self._running.pop(request_id, None)
+        self._rejected_at_ms = now_ms
         self._excluded_until_ms = max(
             self._excluded_until_ms, now_ms + FULL_EXCLUSION_MS
         )
--- a/pistachiohaven/components/placement/_scheduler.py
+++ b/pistachiohaven/components/placement/_scheduler.py
@@ -1,6 +1,7 @@
 """Scheduler of the requests that wait for a slot at a target."""
 
 from collections import Counter, defaultdict
+from collections.abc import Callable
 from dataclasses import replace
 
 from pistachiohaven.components.fleet import Pool, Target
@@ -9,7 +10,7 @@
 from pistachiohaven.core import Reason
 from pistachiohaven.helpers import Ewma, rendezvous_order, stable_fraction
 
-from ._job import Decision, Job, Placement, Refusal
+from ._job import Decision, Job, NoSpareSlot, Placement, Refusal
 from ._load import PeerLoad, TargetLoad
 from ._order import ServingOrder, measure_speed
 from ._peer_queues import PeerQueues
@@ -183,6 +184,33 @@
                 decisions += self._schedule_pool(jobs, now_ms=now_ms)
         return decisions
 
+    def place_spare(
+        self, job: Job, *, admit: Callable[[], bool], now_ms: int
+    ) -> Placement | NoSpareSlot:
+        """Place a copy of a running request on a slot that nobody else needs.
+
+        `job` excludes the targets that the request has used. It is never queued and
+        does not count as another request of its rank. `admit` is called once a target
+        is found, and returns False if nothing is to be placed after all.
+        """
+        if self.waiting(job.pool) or self._peer_queues.requests(
+            job.pool, now_ms=now_ms
+        ):
+            return NoSpareSlot.REQUESTS_WAIT
+        loads = self._pool_loads(job.pool)
+        if any(load.has_rejected_lately(now_ms=now_ms) for load in loads):
+            return NoSpareSlot.TARGETS_FULL
+        suspects = {load.target.name for load in loads if load.is_suspect}
+        job = replace(job, excluded_targets=job.excluded_targets | suspects)
+        load = self._select_target(job, now_ms=now_ms)
+        if load is None:
+            return NoSpareSlot.NO_SLOT
+        if not admit():
+            return NoSpareSlot.NOT_ADMITTED
+        placement = _make_placement(job, load, has_reserved_slot=False, now_ms=now_ms)
+        load.record_sent(job, now_ms=now_ms)
+        return placement
+
     def has_alternative(self, job: Job, target: str, *, now_ms: int) -> bool:
         """Return True if a target other than `target` may be used for `job`."""
         excluded_names = job.excluded_targets | {target}
@@ -414,13 +442,8 @@
         self, job: Job, load: TargetLoad, *, has_reserved_slot: bool, now_ms: int
     ) -> Placement:
         """Record the placement of `job` and return it."""
-        placement = Placement(
-            job=job,
-            target=load.target.name,
-            waited_ms=now_ms - job.arrived_ms,
-            expected_ms=load.expected_ms(job, now_ms=now_ms),
-            running=load.running(now_ms=now_ms),
-            has_reserved_slot=has_reserved_slot,
+        placement = _make_placement(
+            job, load, has_reserved_slot=has_reserved_slot, now_ms=now_ms
         )
         load.record_sent(job, now_ms=now_ms)
         self._order.record_placement(job)
@@ -510,6 +533,19 @@
         return [load for load in loads if load.is_usable(now_ms=now_ms)] or loads
 
 
+def _make_placement(
+    job: Job, load: TargetLoad, *, has_reserved_slot: bool, now_ms: int
+) -> Placement:
+    return Placement(
+        job=job,
+        target=load.target.name,
+        waited_ms=now_ms - job.arrived_ms,
+        expected_ms=load.expected_ms(job, now_ms=now_ms),
+        running=load.running(now_ms=now_ms),
+        has_reserved_slot=has_reserved_slot,
+    )
+
+
 def _starts_per_ms(loads: list[TargetLoad]) -> float:
     """Return the rate at which requests can start at targets, per millisecond."""
     return max(sum(load.starts_per_ms for load in loads), MIN_STARTS_PER_MS)
--- a/pistachiohaven/components/placement/const.py
+++ b/pistachiohaven/components/placement/const.py
@@ -41,6 +41,12 @@
 FULL_EXCLUSION_MS: Final = 60
 """Time that a target is excluded after it rejected a request as full."""
 
+REJECTION_MEMORY_MS: Final = 2_000
+"""Time after a rejection in which a target's pool has no slot to spare.
+
+Longer than peers' reports of their load are used.
+"""
+
 FAILURE_EWMA_WEIGHT: Final = 0.1
 """Weight of the newest result in a target's share of failures."""
 
--- a/pistachiohaven/config.py
+++ b/pistachiohaven/config.py
@@ -70,6 +70,11 @@
     may get `cold_overage` times the requests that it tolerates, and
     `cold_tolerance_requests` more, from all gateways together.
 
+    Hedging sends a repeatable request that is slow to a second target. Within
+    `hedge_window_s`, all gateways together send at most `hedge_ratio` hedges per
+    request of a pool; 0 turns it off. A request is slow if it takes longer than the
+    share `hedge_percentile` of 100 of those of its route, and `hedge_min_delay_ms`.
+
     `regions` has the region of each data centre.
     """
 
@@ -91,6 +96,10 @@
     quota_tolerance_tokens: float = Field(default=0.0, ge=0.0)
     cold_overage: float = Field(default=1.0, ge=1.0, le=10.0)
     cold_tolerance_requests: float = Field(default=0.0, ge=0.0)
+    hedge_ratio: float = Field(default=0.0, ge=0.0, le=1.0)
+    hedge_percentile: float = Field(default=95.0, ge=50.0, le=99.9)
+    hedge_min_delay_ms: int = Field(default=10, ge=1, le=60_000)
+    hedge_window_s: float = Field(default=60.0, ge=1.0, le=600.0)
     region: str = ""
     regions: dict[str, str] = {}
 
--- a/tests/test_layout.py
+++ b/tests/test_layout.py
@@ -11,6 +11,7 @@
     "admission",
     "dispatch",
     "gossip",
+    "hedge",
     "lifecycle",
     "membership",
     "notice",
