--- a/tests/components/gateway/stand_ins.py
+++ b/tests/components/gateway/stand_ins.py
@@ -480,7 +480,11 @@
 
 @asynccontextmanager
 async def run_harness(
-    *, targets: int = 2, seeds: tuple[str, ...] = (), **overrides: object
+    *,
+    targets: int = 2,
+    seeds: tuple[str, ...] = (),
+    settings: dict[str, object] | None = None,
+    **overrides: object,
 ) -> AsyncIterator[GatewayHarness]:
     """Run a store, targets and one gateway until the `async with` block ends."""
     store = StoreStandIn()
@@ -491,9 +495,12 @@
         store.put("op/config", make_config(**overrides))  # type: ignore[arg-type]
         for target in stand_ins:
             store.put(f"servers/{target.name}", target.entry("p"))
-        settings = await nursery.start(run_gateway, make_settings(store, seeds))
+        own_settings = make_settings(store, seeds).model_copy(update=settings or {})
         harness = GatewayHarness(
-            store=store, targets=stand_ins, settings=settings, nursery=nursery
+            store=store,
+            targets=stand_ins,
+            settings=await nursery.start(run_gateway, own_settings),
+            nursery=nursery,
         )
         await harness.wait_until(harness.is_ready)
         yield harness
--- /dev/null
+++ b/tests/components/hedge/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of hedging."""
