--- a/tests/components/gateway/test_hedged.py
+++ b/tests/components/gateway/test_hedged.py
@@ -219,3 +219,18 @@
         assert (await harness.call("/again/x")).status == 200
     assert len(harness.received) == 2
     assert charge.call_count == 1
+
+
+@with_harness(settings={**HEDGED, "retry_ratio": 0.0, "retry_extra": 0.0})
+async def test_no_hedge_without_retry_budget(harness: GatewayHarness) -> None:
+    """Load: slow requests while the retry budget of the pool is used up."""
+    await learn(harness)
+    script_first_requests(harness, never_respond)
+    response = await harness.call(
+        "/again/x", headers={"Pistachiohaven-Deadline-Ms": "700"}
+    )
+    assert response.status == 504
+    assert len(harness.received) == 1
+    assert 'hedges_denied_total{pool="p",reason="retry_budget"} 1.0' in (
+        await metrics(harness)
+    )
