--- a/pistachiohaven/components/gateway/_request.py
+++ b/pistachiohaven/components/gateway/_request.py
@@ -80,6 +80,7 @@
         self._crashed_targets = 0
         self._target_error: CompleteResponse | None = None
         self._hedged: HedgedDispatch | None = None
+        self._is_dispatch_recorded = False
         self.reason: Reason | None = None
         self.version: str | None = None
 
@@ -280,9 +281,11 @@
             on_first_event=partial(self._record_origin, load.target.version),
             on_proof=partial(state.crash_link.record_proof, self._call.part_hashes),
         )
+        pool_name = self._call.pool_name
         if not self._sent_count and not is_hedge:
-            pool_name = self._call.pool_name
             state.retry_budget(pool_name).record_request(now_ms=now_ms)
+        if not self._is_dispatch_recorded:
+            self._is_dispatch_recorded = True
             state.hedge_policy.record_request(pool_name, now_ms=now_ms)
         self._possible_runs += 1
         result = await dispatch.run()
