Keep the result of a dispatch apart from its target

test_target_that_restarts_with_another_version_after_placement_is_not_used failed since _dispatch returned a pair. Ran: tests/components/hedge, test_hedged.py, test_histories.py, test_gateway.py and test_stall.py pass.

--- a/pistachiohaven/components/gateway/_request.py
+++ b/pistachiohaven/components/gateway/_request.py
@@ -81,6 +81,7 @@
         self._target_error: CompleteResponse | None = None
         self._hedged: HedgedDispatch | None = None
         self._is_dispatch_recorded = False
+        self._result_target = ""
         self.reason: Reason | None = None
         self.version: str | None = None
 
@@ -149,14 +150,14 @@
                 self._release_slot(decision.target)
                 continue
             self._log_placed(decision)
-            result, target = await self._dispatch(decision.target)
+            result = await self._dispatch(decision.target)
             if isinstance(result, CompleteResponse):
                 await self._response.send_complete(result)
                 return
             if isinstance(result, CompletedStream):
                 await self._response.end_stream()
                 return
-            if not await self._prepare_resend(result, target):
+            if not await self._prepare_resend(result, self._result_target):
                 await self._respond_to_failure(result)
                 return
 
@@ -227,25 +228,24 @@
             version=version,
         )
 
-    async def _dispatch(self, target: str) -> tuple[DispatchResult, str]:
+    async def _dispatch(self, target: str) -> DispatchResult:
         """Dispatch the request to `target` and return the result.
 
-        If the request is slow, a second target may get it as well; the result is then
-        that of the target that is returned with it.
+        If the request is slow, a second target may get it as well. `_result_target` is
+        the one whose result is returned.
         """
         state = self._state
+        self._result_target = target
         load = state.scheduler.load(target)
         if load is None:
-            detail = "target gone"
-        elif self._job.version not in (None, load.target.version):
-            detail = "version changed"
-        elif not HedgedDispatch.may_hedge(self._call, state.hedge_policy):
-            return await self._run_dispatch(load), target
-        else:
+            return FailedDispatch(failure=Failure.NOT_SENT, detail="target gone")
+        if self._job.version not in (None, load.target.version):
+            return FailedDispatch(failure=Failure.NOT_SENT, detail="version changed")
+        if HedgedDispatch.may_hedge(self._call, state.hedge_policy):
             return await self._run_hedged(load)
-        return FailedDispatch(failure=Failure.NOT_SENT, detail=detail), target
+        return await self._run_dispatch(load)
 
-    async def _run_hedged(self, load: TargetLoad) -> tuple[DispatchResult, str]:
+    async def _run_hedged(self, load: TargetLoad) -> DispatchResult:
         """Run one dispatch, and a hedge unless the request has had one already."""
         self._hedged = HedgedDispatch(
             state=self._state,
@@ -261,7 +261,8 @@
         )
         result, winner = await self._hedged.run(load)
         self.version = winner.target.version
-        return result, winner.target.name
+        self._result_target = winner.target.name
+        return result
 
     async def _run_dispatch(
         self, load: TargetLoad, *, is_hedge: bool = False
