--- a/tests/components/hedge/test_spare_slot.py
+++ b/tests/components/hedge/test_spare_slot.py
@@ -295,7 +295,6 @@
     requests = 6_000
     without = Replay(ratio=0.0).run(requests)
     hedged = Replay(ratio=TERMS.ratio).run(requests)
-    print("p99", without.p99_ms(), hedged.p99_ms(), "hedges", hedged.hedges)
     assert without.hedges == 0
     assert without.p99_ms() > 160
     assert hedged.p99_ms() <= 160
