--- a/tests/components/evacuation/test_gateway.py
+++ b/tests/components/evacuation/test_gateway.py
@@ -51,7 +51,7 @@
     assert len(harness.targets[0].received) == 1
 
 
-@with_harness(regions={"a": "north", "b": "south"})
+@with_harness(settings={"regions": {"a": "north", "b": "south"}})
 async def test_callers_are_served_in_the_regions_of_route_and_organisation(
     harness: GatewayHarness,
 ) -> None:
--- a/tests/components/gateway/stand_ins.py
+++ b/tests/components/gateway/stand_ins.py
@@ -483,7 +483,7 @@
     *,
     targets: int = 2,
     seeds: tuple[str, ...] = (),
-    regions: dict[str, str] | None = None,
+    settings: dict[str, object] | None = None,
     **overrides: object,
 ) -> AsyncIterator[GatewayHarness]:
     """Run a store, targets and one gateway until the `async with` block ends."""
@@ -495,11 +495,12 @@
         store.put("op/config", make_config(**overrides))  # type: ignore[arg-type]
         for target in stand_ins:
             store.put(f"servers/{target.name}", target.entry("p"))
-        settings = make_settings(store, seeds)
-        settings = settings.model_copy(update={"regions": regions or {}})
-        settings = await nursery.start(run_gateway, settings)
+        own_settings = make_settings(store, seeds).model_copy(update=settings or {})
         harness = GatewayHarness(
-            store=store, targets=stand_ins, settings=settings, nursery=nursery
+            store=store,
+            targets=stand_ins,
+            settings=await nursery.start(run_gateway, own_settings),
+            nursery=nursery,
         )
         await harness.wait_until(harness.is_ready)
         yield harness
--- a/tests/test_layout.py
+++ b/tests/test_layout.py
@@ -12,6 +12,7 @@
     "dispatch",
     "evacuation",
     "gossip",
+    "hedge",
     "lifecycle",
     "membership",
     "notice",
