Hand freed slots over to the gateway whose request should get them

Cause: under overload each gateway leaves free slots to requests that it believes to wait at peers, by reports that are 0.1 to 2.5 s old, so slots stand idle while requests are refused, or are taken twice.

Change: the gateway whose request frees a slot decides at once who gets it, by rank and queue length, and offers it to a peer by one datagram (SlotOffer, answered by SlotReply; QueueHint tells a few peers that requests begin to wait). A slot that nobody handed over is used only after it has seemed free for 1.5 times the interval of reports. Slots of a target with too many running requests are not reused.

Tests of placement (without simulations of many entries, which still run), exchange and peers pass. Not run yet: the whole suite.

--- a/pistachiohaven/components/exchange/_core.py
+++ b/pistachiohaven/components/exchange/_core.py
@@ -40,6 +40,7 @@
     sequence: int = -1
     revision: int = 0
     leaving: bool = False
+    takes_offers: bool = False
     last_received_ms: int | None = None
     first_seen_ms: int = 0
     last_sent_ms: int | None = None
@@ -147,6 +148,7 @@
         peer.sequence = digest.sequence
         peer.revision = digest.revision
         peer.leaving = digest.leaving
+        peer.takes_offers = digest.takes_offers
         peer.last_received_ms = now_ms
         for member in digest.members:
             self._add_peer(member, now_ms=now_ms)
@@ -280,6 +282,10 @@
         order = rendezvous_order(key, self._peers)
         return sorted(order, key=lambda address: address in last_addresses)
 
+    def find_by_hash(self, incarnation_hash: int) -> Peer | None:
+        """Return the entry whose incarnation has this hash, None if it is unknown."""
+        return self._by_hash.get(incarnation_hash)
+
     def find_newer_peer(self, revision: int, *, now_ms: int) -> Peer | None:
         """Return the live peer with the newest revision after `revision`, if any."""
         newer_peers = [
--- a/pistachiohaven/components/exchange/_messages.py
+++ b/pistachiohaven/components/exchange/_messages.py
@@ -101,7 +101,8 @@
     usage of all entries within the quota window, as known to the sender; only peers
     that do not know the sender yet get it. `rate_limits` are all that it knows,
     `leaving_targets` those that said lately that they leave, and `part_crashes` those
-    of the parts with most crashes. `addresses` are as in an update.
+    of the parts with most crashes. `addresses` are as in an update. `takes_offers` is
+    True if the sender knows the messages that hand over slots.
     """
 
     sender: Member
@@ -120,6 +121,7 @@
     leaving_targets: tuple[LeavingTargetReport, ...] = ()
     part_crashes: tuple[PartCrashReport, ...] = ()
     addresses: tuple[bytes, ...] = ()
+    takes_offers: bool = False
 
 
 class Update(msgspec.Struct, array_like=True, frozen=True, kw_only=True, tag=1):
@@ -190,6 +192,42 @@
     reports: tuple[PartCrashReport, ...]
 
 
+class SlotOffer(msgspec.Struct, array_like=True, frozen=True, kw_only=True, tag=7):
+    """Slot that the receiver may use now for a request of `max_rank` or above.
+
+    `owner` is the hash of the incarnation whose request freed the slot, `number` its
+    number of the offer, and `target` the hash of the target's incarnation. The offer
+    may be sent `hops` times in all, and a receiver that was stopped for longer than
+    `valid_ms` ignores it.
+    """
+
+    owner: int
+    number: int
+    target: int
+    max_rank: int
+    hops: int
+    valid_ms: int
+
+
+class SlotReply(msgspec.Struct, array_like=True, frozen=True, kw_only=True, tag=8):
+    """Reply to the owner of a slot: whether the sender has used it.
+
+    `sender` is the hash of the incarnation, `waiting` its queue after that.
+    """
+
+    sender: int
+    number: int
+    is_used: bool
+    waiting: tuple[QueueReport, ...]
+
+
+class QueueHint(msgspec.Struct, array_like=True, frozen=True, kw_only=True, tag=9):
+    """Queue of an entry at which more urgent requests wait than before."""
+
+    sender: int
+    waiting: tuple[QueueReport, ...]
+
+
 Datagram = (
     Digest
     | Update
@@ -198,6 +236,9 @@
     | OriginQuery
     | OriginReply
     | PartCrashes
+    | SlotOffer
+    | SlotReply
+    | QueueHint
 )
 
 
--- a/pistachiohaven/components/gateway/_dispatch.py
+++ b/pistachiohaven/components/gateway/_dispatch.py
@@ -153,7 +153,7 @@
         try:
             acquired = await self._pool.acquire(self._load.target.address)
         except BaseException:
-            self._load.record_cancelled(request_id)
+            self._load.record_cancelled(request_id, now_ms=self._clock.now_ms())
             raise
         if isinstance(acquired, Err):
             self._load.record_failure(
@@ -162,7 +162,7 @@
             return FailedDispatch(failure=Failure.NOT_SENT, detail=acquired.err_value)
         connection = acquired.ok_value
         if not self._load.accepts_requests(now_ms=self._clock.now_ms()):
-            self._load.record_cancelled(request_id)
+            self._load.record_cancelled(request_id, now_ms=self._clock.now_ms())
             await self._pool.close(connection)
             return FailedDispatch(
                 failure=Failure.NOT_SENT, detail="target leaving or paused"
@@ -174,7 +174,7 @@
         except CONNECTION_ERRORS as error:
             result = self._interrupted(type(error).__name__, is_cut=True)
         except BaseException:
-            self._load.record_cancelled(request_id)
+            self._load.record_cancelled(request_id, now_ms=self._clock.now_ms())
             await self._pool.close(connection)
             raise
         if not self._is_connection_released:
--- a/pistachiohaven/components/gateway/_metrics.py
+++ b/pistachiohaven/components/gateway/_metrics.py
@@ -54,6 +54,17 @@
         self.live_peers = Gauge(
             "gateway_live_peers", "Gateways heard of lately", registry=self.registry
         )
+        self.slots_offered = Counter(
+            "gateway_slots_offered",
+            "Freed slots offered to peers",
+            registry=self.registry,
+        )
+        self.slots_received = Counter(
+            "gateway_slots_received",
+            "Offers of peers by what became of them here",
+            ["outcome"],
+            registry=self.registry,
+        )
         self.connections_opened = Gauge(
             "gateway_connections_opened",
             "Connections opened to targets since the start",
--- a/pistachiohaven/components/gateway/_peers.py
+++ b/pistachiohaven/components/gateway/_peers.py
@@ -16,8 +16,11 @@
     OriginReply,
     PartCrashes,
     PeerEvents,
+    QueueHint,
     QueueReport,
     RateLimitReport,
+    SlotOffer,
+    SlotReply,
     StreamBegun,
     TargetReport,
     Update,
@@ -63,6 +66,7 @@
         self._stdlib_socket = sock
         state.origin_link.connect(self._send_at_once)
         state.crash_link.connect(self._send_at_once)
+        state.handover_link.connect(self._send_at_once)
 
     async def run(self) -> None:
         """Send and receive datagrams until cancelled."""
@@ -70,6 +74,7 @@
             nursery.start_soon(self._receive)
             while True:
                 await self._send_round()
+                self._state.handover_link.record_run()
                 await trio.sleep(INTERVAL_MS / 2 / MS_PER_S)
 
     # Sending
@@ -167,6 +172,7 @@
             leaving_targets=self._leaving_reports(changed_only=False, now_ms=now_ms),
             part_crashes=state.crash_link.reports(changed_only=False),
             addresses=self._sample_addresses(now_ms=now_ms),
+            takes_offers=True,
         )
 
     def _build_update(self, *, now_ms: int) -> Update:
@@ -313,6 +319,10 @@
     def _(self, message: PartCrashes, address: str) -> None:
         self._state.crash_link.apply(message.reports, peer=address)
 
+    @_handle.register
+    def _(self, message: SlotOffer | SlotReply | QueueHint, address: str) -> None:
+        self._state.handover_link.handle(message)
+
     @_handle.register
     def _(self, message: Update, address: str) -> None:
         state = self._state
@@ -386,8 +396,13 @@
             (queue_report.pool, queue_report.rank, queue_report.count)
             for queue_report in message.waiting
         ]
-        state.scheduler.update_peer_queue(peer.incarnation, waiting, now_ms=now_ms)
-        if state.scheduler.waiting():
+        state.scheduler.update_peer_queue(
+            peer.incarnation,
+            waiting,
+            takes_offers=peer.takes_offers and not peer.leaving,
+            now_ms=now_ms,
+        )
+        if state.scheduler.waiting() or waiting:
             state.placer.schedule_waiting()
 
     def _apply_rate_limits(
--- a/pistachiohaven/components/gateway/_placer.py
+++ b/pistachiohaven/components/gateway/_placer.py
@@ -1,5 +1,7 @@
 """Asynchronous access of waiting requests to the scheduler."""
 
+from collections.abc import Callable, Sequence
+
 import trio
 
 from pistachiohaven.components.placement import Decision, Job, Refusal, Scheduler
@@ -10,13 +12,17 @@
 
 
 class Placer:
-    """Queue of requests that wait for a decision of the scheduler."""
+    """Queue of requests that wait for a decision of the scheduler.
+
+    `on_scheduled` is called after each run of the scheduler.
+    """
 
     def __init__(self, *, scheduler: Scheduler, clock: Clock) -> None:
         self.scheduler = scheduler
         self._clock = clock
         self._waiters: dict[Job, trio.Event] = {}
         self._decisions: dict[Job, Decision] = {}
+        self.on_scheduled: Callable[[], None] | None = None
 
     async def place(self, job: Job) -> Decision:
         """Wait until `job` gets a slot or is refused, and return the decision."""
@@ -38,7 +44,13 @@
 
         Call this after anything that may have freed a slot.
         """
-        for decision in self.scheduler.schedule(now_ms=self._clock.now_ms()):
+        self.apply(self.scheduler.schedule(now_ms=self._clock.now_ms()))
+        if self.on_scheduled is not None:
+            self.on_scheduled()
+
+    def apply(self, decisions: Sequence[Decision]) -> None:
+        """Wake the requests that `decisions` are about."""
+        for decision in decisions:
             self._decisions[decision.job] = decision
             self._waiters.pop(decision.job).set()
 
@@ -61,5 +73,5 @@
             return
         load = self.scheduler.load(decision.target)
         if load is not None:
-            load.record_cancelled(job.request_id)
+            load.record_cancelled(job.request_id, now_ms=self._clock.now_ms())
         self.schedule_waiting()
--- a/pistachiohaven/components/gateway/_request.py
+++ b/pistachiohaven/components/gateway/_request.py
@@ -186,7 +186,9 @@
         """Free the slot of a request that is not sent to `target`."""
         load = self._state.scheduler.load(target)
         if load is not None:
-            load.record_cancelled(self._job.request_id)
+            load.record_cancelled(
+                self._job.request_id, now_ms=self._state.clock.now_ms()
+            )
         self._state.placer.schedule_waiting()
 
     async def _bind_to_origin(self) -> bool:
@@ -496,6 +498,7 @@
             expected_ms=round(placement.expected_ms),
             remaining_ms=placement.job.deadline_ms - state.clock.now_ms(),
             has_reserved_slot=placement.has_reserved_slot,
+            handed_over=placement.handed_over,
             running=load.running(now_ms=state.clock.now_ms()) if load else 0,
             token_ms=round(load.token_ms, 2) if load else None,
             config_version=self._call.config_version,
--- a/pistachiohaven/components/gateway/_state.py
+++ b/pistachiohaven/components/gateway/_state.py
@@ -33,6 +33,7 @@
 from pistachiohaven.helpers import Clock, ComponentLogger, make_uuid7
 
 from ._crashes import CrashChecks, CrashLink
+from ._handover import HandoverLink
 from ._metrics import GatewayMetrics
 from ._origins import OriginLink
 from ._placer import Placer
@@ -94,6 +95,13 @@
             clock=clock,
             is_list_current=self._is_target_list_current,
         )
+        self.handover_link = HandoverLink(
+            name=self.incarnation,
+            placer=self.placer,
+            exchange=self.exchange,
+            clock=clock,
+            metrics=self.metrics,
+        )
         self.quarantine = PartQuarantine()
         self.crash_checks = CrashChecks()
         self.crash_link = CrashLink(
--- a/pistachiohaven/components/placement/_job.py
+++ b/pistachiohaven/components/placement/_job.py
@@ -40,7 +40,8 @@
 
     `waited_ms` is the time in the queue, `expected_ms` the expected duration at the
     target, and `running` the number of other requests on it. `has_reserved_slot` is
-    True if the job went ahead of more urgent ones since its rank is served too rarely.
+    True if the job went ahead of more urgent ones since its rank is served too rarely,
+    `handed_over` if a peer offered the slot.
     """
 
     job: Job
@@ -49,6 +50,7 @@
     expected_ms: float
     running: int
     has_reserved_slot: bool
+    handed_over: bool = False
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
--- a/pistachiohaven/components/placement/_load.py
+++ b/pistachiohaven/components/placement/_load.py
@@ -21,7 +21,9 @@
     FAILURE_PENALTY,
     FIRST_BYTE_OVERHEAD_MS,
     FULL_EXCLUSION_MS,
+    MAX_EXCESS_RATIO,
     MAX_EXCLUSION_MS,
+    MAX_REJECTED_USES,
     MAX_RUN_RATIO,
     MIN_EXCLUSION_MS,
     MIN_SAMPLE_EVENTS,
@@ -108,6 +110,11 @@
         self._excluded_until_ms = 0
         self._is_probing = False
         self._freed_at_ms: deque[int] = deque()
+        self._offered_slots = 0
+        self._free_since_ms: int | None = None
+        self._unowned_use = ""
+        self._rejected_uses = 0
+        self.peer_load_ttl_ms: float = PEER_LOAD_TTL_MS
 
     # Current load and speed
 
@@ -131,10 +138,13 @@
     def running(self, *, now_ms: int) -> int:
         """Return the number of requests on the target, including those of peers.
 
-        Reports of peers older than `PEER_LOAD_TTL_MS` are ignored.
+        Slots that are offered to peers count as taken. Reports of peers older than
+        `peer_load_ttl_ms` are ignored.
         """
-        return self.own_running + sum(
-            peer.running for peer in self._live_peer_loads(now_ms=now_ms)
+        return (
+            self.own_running
+            + self._offered_slots
+            + sum(peer.running for peer in self._live_peer_loads(now_ms=now_ms))
         )
 
     def update_peer_load(self, peer: str, load: PeerLoad) -> None:
@@ -274,6 +284,70 @@
             self.free_slots(now_ms=now_ms), self._allowed_requests(now_ms=now_ms)
         )
 
+    def free_for_ms(self, *, now_ms: int) -> int:
+        """Return for how long a slot has seemed free, seen at each of these calls."""
+        if not self.has_free_slot(now_ms=now_ms):
+            self._free_since_ms = None
+            return 0
+        if self._free_since_ms is None:
+            self._free_since_ms = now_ms
+        return now_ms - self._free_since_ms
+
+    @property
+    def rejected_uses(self) -> int:
+        """Return how many uses of such slots in a row were rejected."""
+        return self._rejected_uses
+
+    def record_unowned_use(self, request_id: str) -> None:
+        """Record that a request uses a slot that nobody handed over."""
+        self._unowned_use = request_id
+        self._free_since_ms = None
+
+    def takes_request(self, *, now_ms: int) -> bool:
+        """Return True if a slot that is known to be free may be used now."""
+        return (
+            self.is_usable(now_ms=now_ms)
+            and self._allowed_requests(now_ms=now_ms) >= 1
+            and not (self._is_probing and self.own_running)
+        )
+
+    def add_freed_slot(self, *, now_ms: int) -> None:
+        """Record a slot that only this entry may use for some time."""
+        self._freed_at_ms.append(now_ms)
+
+    def excess_share(self, *, now_ms: int) -> float:
+        """Return which share of the freed slots must not be reused.
+
+        It is above 0 if more requests run than the target has slots, by more than
+        reports of different ages may suggest.
+        """
+        slots = self.target.slots
+        taken = self.running(now_ms=now_ms) + len(self._freed_at_ms)
+        return min(max(taken / slots - MAX_EXCESS_RATIO, 0.0), 1.0)
+
+    def drop_freed_slot(self) -> None:
+        """Leave a freed slot unused, since too many requests run on the target."""
+        self._freed_at_ms.popleft()
+
+    def record_offered(self) -> None:
+        """Record that a slot freed by this entry is offered to a peer."""
+        self._freed_at_ms.popleft()
+        self._offered_slots += 1
+
+    def record_offer_end(self, *, user: str | None, now_ms: int) -> None:
+        """Record that `user` runs a request on an offered slot, or that it is free."""
+        self._offered_slots -= 1
+        if user is None:
+            self.add_freed_slot(now_ms=now_ms)
+            return
+        previous = self._peers.get(user)
+        self.update_peer_counts(
+            user,
+            running=1 + (previous.running if previous else 0),
+            prefill_tokens=previous.prefill_tokens if previous else 0,
+            now_ms=previous.reported_ms if previous else now_ms,
+        )
+
     def own_freed_slots(self, *, now_ms: int) -> int:
         """Return the number of slots that this entry freed and has not reused yet.
 
@@ -360,6 +434,8 @@
         running = self._running.get(request_id)
         if running is None or running.first_event_at_ms is not None:
             return
+        if request_id == self._unowned_use:
+            self._rejected_uses = 0
         running.first_event_at_ms = now_ms
         running.sampled_ms = now_ms
         prefill_ms = now_ms - running.sent_ms - FIRST_BYTE_OVERHEAD_MS
@@ -421,16 +497,22 @@
         running.sampled_events = events
         running.sampled_tokens = tokens
 
-    def record_cancelled(self, request_id: str) -> None:
-        """Remove a request that ended for a reason unrelated to the target."""
-        self._running.pop(request_id, None)
+    def record_cancelled(self, request_id: str, *, now_ms: int | None = None) -> None:
+        """Remove a request that ended for a reason unrelated to the target.
+
+        With `now_ms`, its slot is one that this entry has freed.
+        """
+        if self._running.pop(request_id, None) is not None and now_ms is not None:
+            self.add_freed_slot(now_ms=now_ms)
 
     def record_failure(
         self, request_id: str, *, has_responded: bool, now_ms: int
     ) -> None:
         """Record a failed request; `has_responded` is True if the target responded."""
-        self._running.pop(request_id, None)
+        was_running = self._running.pop(request_id, None) is not None
         self._failure_share.add(1.0)
+        if has_responded and was_running:
+            self.add_freed_slot(now_ms=now_ms)
         if not has_responded:
             self.record_stall(now_ms=now_ms)
 
@@ -454,6 +536,8 @@
 
     def record_rejection(self, request_id: str, *, now_ms: int) -> None:
         """Record that the target rejected a request because it has no free slot."""
+        if request_id == self._unowned_use:
+            self._rejected_uses = min(self._rejected_uses + 1, MAX_REJECTED_USES)
         self._running.pop(request_id, None)
         self._excluded_until_ms = max(
             self._excluded_until_ms, now_ms + FULL_EXCLUSION_MS
@@ -467,11 +551,11 @@
         return self.target.slots if allowed is None else allowed
 
     def _live_peer_loads(self, *, now_ms: int) -> list[PeerLoad]:
-        """Return the loads reported within `PEER_LOAD_TTL_MS`."""
+        """Return the loads reported within `peer_load_ttl_ms`."""
         return [
             peer
             for peer in self._peers.values()
-            if now_ms - peer.reported_ms < PEER_LOAD_TTL_MS
+            if now_ms - peer.reported_ms < self.peer_load_ttl_ms
         ]
 
     def _uncached_tokens(self, job: Job, *, now_ms: int) -> int:
--- a/pistachiohaven/components/placement/_scheduler.py
+++ b/pistachiohaven/components/placement/_scheduler.py
@@ -1,13 +1,16 @@
 """Scheduler of the requests that wait for a slot at a target."""
 
+import random
 from collections import Counter, defaultdict
 from dataclasses import replace
 
 from pistachiohaven.components.fleet import Pool, Target
+from pistachiohaven.components.handover import Offer, Offers, choose_claimant
+from pistachiohaven.components.handover.const import MAX_RANK
 from pistachiohaven.components.notice import TargetNotices
 from pistachiohaven.components.rate_limit import RateLimits
 from pistachiohaven.core import Reason
-from pistachiohaven.helpers import Ewma, rendezvous_order, stable_fraction
+from pistachiohaven.helpers import Ewma, rendezvous_order, stable_fraction, stable_hash
 
 from ._job import Decision, Job, Placement, Refusal
 from ._load import PeerLoad, TargetLoad
@@ -21,6 +24,7 @@
     MAX_WAIT_SHARE,
     MIN_RETRY_AFTER_MS,
     MIN_STARTS_PER_MS,
+    PEER_LOAD_TTL_MS,
     POOL_SPEED_EWMA_WEIGHT,
     RANK_EWMA_WEIGHT,
     START_SHARE_MS,
@@ -62,6 +66,8 @@
         self._waiting: dict[str, list[Job]] = {}
         self._more_urgent_shares: dict[tuple[str, int], Ewma] = {}
         self._peer_queues = PeerQueues()
+        self._offers = Offers()
+        self._rng = random.Random(stable_hash(name))
         self._served_shares = ServedShares()
         self._reserved_slots = ReservedSlots(served_shares=self._served_shares)
         self._order = ServingOrder(
@@ -127,10 +133,23 @@
             target_load.update_peer_load(peer, load)
 
     def update_peer_queue(
-        self, peer: str, waiting: list[tuple[int, int, int]], *, now_ms: int
+        self,
+        peer: str,
+        waiting: list[tuple[int, int, int]],
+        *,
+        takes_offers: bool = False,
+        now_ms: int,
     ) -> None:
-        """Replace the queue lengths of `peer`: hash of the pool, rank, count."""
-        self._peer_queues.update(peer, waiting, now_ms=now_ms)
+        """Replace the queue lengths of `peer`: hash of the pool, rank, count.
+
+        Freed slots are handed over to it if it `takes_offers`.
+        """
+        self._peer_queues.update(
+            peer, waiting, takes_offers=takes_offers, now_ms=now_ms
+        )
+        ttl_ms = max(PEER_LOAD_TTL_MS, self._peer_queues.handover_delay_ms())
+        for load in self._loads.values():
+            load.peer_load_ttl_ms = ttl_ms
 
     def drop_peer(self, peer: str) -> None:
         """Remove the loads and queue lengths of an entry that has ended."""
@@ -177,7 +196,7 @@
 
     def schedule(self, *, now_ms: int) -> list[Decision]:
         """Place the jobs that get a slot and refuse those past their wait limit."""
-        decisions: list[Decision] = []
+        decisions = self._assign_freed_slots(now_ms=now_ms)
         for jobs in self._waiting.values():
             if jobs:
                 decisions += self._schedule_pool(jobs, now_ms=now_ms)
@@ -249,6 +268,165 @@
             requests_ahead / pool_starts_per_ms + (bound_ahead + 1) / starts_per_ms
         ) / (1.0 - more_urgent_share)
 
+    # Handover of freed slots
+
+    def take_offers(self) -> list[Offer]:
+        """Return the offers of freed slots that are to be sent, once."""
+        return self._offers.take_unsent()
+
+    def handover_peers(self) -> list[str]:
+        """Return the peers that know the messages of the handover."""
+        return self._peer_queues.handover_peers()
+
+    def update_claims(
+        self, peer: str, waiting: list[tuple[int, int, int]], *, now_ms: int
+    ) -> None:
+        """Replace the queue lengths of a peer that takes offers."""
+        self._peer_queues.update_claims(peer, waiting, now_ms=now_ms)
+
+    def settle_offer(self, number: int, *, user: str | None, now_ms: int) -> None:
+        """Record that `user` has used an offered slot, or nobody if it is None.
+
+        A slot that nobody used is decided about again when the scheduler runs next.
+        """
+        offer = self._offers.settle(number)
+        load = self._loads.get(offer.target) if offer else None
+        if offer and load and load.incarnation_hash == offer.target_hash:
+            load.record_offer_end(user=user, now_ms=now_ms)
+
+    def accept_slot(
+        self, target_hash: int, *, max_rank: int, now_ms: int
+    ) -> Placement | None:
+        """Place a request of `max_rank` or above on a slot that a peer offers.
+
+        `target_hash` is that of the target's incarnation. Return None if no request
+        that may use this target waits.
+        """
+        load = self._find_load(target_hash)
+        if load is None or not load.takes_request(now_ms=now_ms):
+            return None
+        job, has_reserved_slot = self._first_job(load, now_ms=now_ms)
+        if job is None or job.rank > max_rank:
+            return None
+        load.add_freed_slot(now_ms=now_ms)
+        placement = self._place_job(
+            job, load, has_reserved_slot=has_reserved_slot, now_ms=now_ms
+        )
+        self._waiting[job.pool].remove(job)
+        return replace(placement, handed_over=True)
+
+    def pass_slot_on(
+        self, target_hash: int, *, max_rank: int, excluded: set[str], now_ms: int
+    ) -> str | None:
+        """Return the peer that should get a slot that is not used here, or None."""
+        load = self._find_load(target_hash)
+        if load is None:
+            return None
+        pool = load.target.pool
+        claims = self._peer_queues.claims(
+            pool, max_rank=max_rank, excluded=excluded, now_ms=now_ms
+        )
+        claim = choose_claimant(claims, own_rank=None, own_count=0, rng=self._rng)
+        if claim is None:
+            return None
+        self._peer_queues.record_offer(pool, claim)
+        return claim.peer
+
+    def _assign_freed_slots(self, *, now_ms: int) -> list[Decision]:
+        """Use the slots that this entry freed, or offer them to peers.
+
+        Without claims of peers, the other rules decide about them.
+        """
+        for offer in self._offers.expire(now_ms=now_ms):
+            self._peer_queues.drop_claims(offer.peer)
+            load = self._loads.get(offer.target)
+            if load is not None and load.incarnation_hash == offer.target_hash:
+                load.record_offer_end(user=None, now_ms=now_ms)
+        decisions: list[Decision] = []
+        for load in self._loads.values():
+            while load.own_freed_slots(now_ms=now_ms) and load.takes_request(
+                now_ms=now_ms
+            ):
+                is_assigned, placement = self._assign_freed_slot(load, now_ms=now_ms)
+                if placement is not None:
+                    decisions.append(placement)
+                if not is_assigned:
+                    break
+        return decisions
+
+    def _assign_freed_slot(
+        self, load: TargetLoad, *, now_ms: int
+    ) -> tuple[bool, Placement | None]:
+        """Place an own request on a freed slot or offer it to a peer.
+
+        Return whether it was decided about, and the placement if it was used.
+        """
+        pool = load.target.pool
+        claims = self._peer_queues.claims(
+            pool, max_rank=MAX_RANK, excluded=set(), now_ms=now_ms
+        )
+        if not claims:
+            return False, None
+        if self._rng.random() < load.excess_share(now_ms=now_ms):
+            load.drop_freed_slot()
+            return True, None
+        job, has_reserved_slot = self._first_job(load, now_ms=now_ms)
+        claim = None
+        if not has_reserved_slot:
+            claim = choose_claimant(
+                claims,
+                own_rank=job.rank if job else None,
+                own_count=sum(
+                    other.rank == job.rank for other in self._waiting.get(pool, ())
+                )
+                if job
+                else 0,
+                rng=self._rng,
+            )
+        if claim is not None:
+            self._peer_queues.record_offer(pool, claim)
+            load.record_offered()
+            self._offers.add(
+                target=load.target.name,
+                target_hash=load.incarnation_hash,
+                peer=claim.peer,
+                max_rank=job.rank if job else MAX_RANK,
+                now_ms=now_ms,
+            )
+            return True, None
+        if job is None:
+            return False, None
+        self._waiting[pool].remove(job)
+        return True, self._place_job(
+            job, load, has_reserved_slot=has_reserved_slot, now_ms=now_ms
+        )
+
+    def _first_job(self, load: TargetLoad, *, now_ms: int) -> tuple[Job | None, bool]:
+        """Return the first waiting job that may use the target, in serving order.
+
+        The second value is True if it may use a reserved slot.
+        """
+        jobs = self._waiting.get(load.target.pool)
+        if not jobs:
+            return None, False
+        pool_loads = self._pool_loads(load.target.pool)
+        ordered = self._order.sort(jobs, measure_speed(pool_loads), now_ms=now_ms)
+        reserved = self._reserved_slots.select_jobs(ordered, pool_loads, now_ms=now_ms)
+        for job in [*reserved, *ordered]:
+            if (
+                load.target.name not in job.excluded_targets
+                and job.version in (None, load.target.version)
+                and load.can_end_in_time(job, now_ms=now_ms)
+            ):
+                return job, job in reserved
+        return None, False
+
+    def _find_load(self, incarnation_hash: int) -> TargetLoad | None:
+        for load in self._loads.values():
+            if load.incarnation_hash == incarnation_hash:
+                return load
+        return None
+
     # Scheduling
 
     def _check_on_arrival(self, job: Job, *, now_ms: int) -> Refusal | None:
@@ -283,6 +461,8 @@
         slots may be at other targets. Blocked jobs may still be refused.
         """
         decisions: list[Decision] = []
+        for pool_load in self._pool_loads(jobs[0].pool):
+            pool_load.free_for_ms(now_ms=now_ms)
         speed = measure_speed(self._pool_loads(jobs[0].pool))
         jobs[:] = self._order.sort(jobs, speed, now_ms=now_ms)
         is_blocked = False
@@ -307,6 +487,7 @@
             )
             load = None if is_blocked else self._select_target(job, now_ms=now_ms)
             if load is not None:
+                load.record_unowned_use(job.request_id)
                 placement = self._place_job(
                     job, load, has_reserved_slot=has_reserved_slot, now_ms=now_ms
                 )
@@ -383,7 +564,8 @@
         Peers with equally urgent requests see the same free slots, each at a different
         time. A slot that this entry freed is used by this entry. The other slots are
         assigned to the entries with waiting requests in rendezvous order, which all of
-        them compute alike.
+        them compute alike. Where peers hand slots over, one that is free belongs to
+        somebody, unless it has seemed free for some time.
         """
         free_slots = load.free_slots(now_ms=now_ms)
         if free_slots <= 0 or load.own_running >= self._max_own_running(
@@ -391,13 +573,21 @@
         ):
             return False
         competitors = self._peer_queues.competitors(job.pool, job.rank, now_ms=now_ms)
-        if not competitors:
+        delay_ms = self._peer_queues.handover_delay_ms()
+        if not competitors and not (
+            delay_ms and self._peer_queues.requests(job.pool, now_ms=now_ms)
+        ):
             return True
-        own_freed = load.own_freed_slots(now_ms=now_ms)
-        if own_freed:
+        if load.own_freed_slots(now_ms=now_ms):
             return True
         order = rendezvous_order(load.target.name, [*competitors, self._name])
-        return order.index(self._name) < free_slots
+        if not delay_ms:
+            return order.index(self._name) < free_slots
+        free_for_ms = load.free_for_ms(now_ms=now_ms)
+        return (
+            free_for_ms * free_slots >= delay_ms * (1 << load.rejected_uses)
+            and order.index(self._name) < (free_slots + 1) // 2
+        )
 
     def _max_own_running(self, load: TargetLoad, *, now_ms: int) -> int:
         """Return the number of slots of a target that this entry may use.
--- a/pistachiohaven/components/placement/const.py
+++ b/pistachiohaven/components/placement/const.py
@@ -114,3 +114,15 @@
 
 MAX_RUN_RATIO: Final = 1.0
 """Ratio of expected run to remaining time above which a job is not expected to end."""
+
+REPORT_GAP_EWMA_WEIGHT: Final = 0.02
+"""Weight of the newest time between two reports of a peer; 50 reports."""
+
+REPORT_GAP_FACTOR: Final = 1.5
+"""Reports of each peer during which a slot that nobody handed over must seem free."""
+
+MAX_REJECTED_USES: Final = 3
+"""Doublings of that time after the target was full when it seemed to have a slot."""
+
+MAX_EXCESS_RATIO: Final = 1.2
+"""Running requests per slot above which some of the freed slots are not reused."""
--- a/tests/components/placement/simulation.py
+++ b/tests/components/placement/simulation.py
@@ -4,12 +4,21 @@
 import itertools
 import random
 from collections import Counter, defaultdict
+from collections.abc import Callable, Sequence
 from dataclasses import dataclass, field
+from functools import partial
 from statistics import fmean
 
-from pistachiohaven.components.exchange import short_hash
+from pistachiohaven.components.exchange import encode_datagram, short_hash
 from pistachiohaven.components.fleet import Pool, Target
-from pistachiohaven.components.placement import Job, PeerLoad, Placement, Scheduler
+from pistachiohaven.components.handover import HandoverCore, Outgoing
+from pistachiohaven.components.placement import (
+    Decision,
+    Job,
+    PeerLoad,
+    Placement,
+    Scheduler,
+)
 
 POOL = Pool(
     name="p", is_engine=True, connection_limit=100, cache_tokens=500_000, event_tokens=6
@@ -18,6 +27,7 @@
 SERVICE_MS = 1_200
 MAX_WAIT_MS = 3_200
 STEP_MS = 20
+LATENCY_MS = 3
 MAX_SIZE = 10.0
 """Size of the largest requests of a class, relative to the average."""
 
@@ -46,7 +56,9 @@
     """Used and overcommitted shares of all slots over time.
 
     `placed` and `requested` count placements and requests by rank, and `placed_at_ms`
-    and `requested_at_ms` are their times. `sizes` are those of all requests by rank, 1
+    and `requested_at_ms` are their times. `waiting_used_steps` are the steps of slots
+    in use while a request waits, of `waiting_slot_steps`. Of the `arrivals` at targets,
+    `rejected` found no free slot. `sizes` are those of all requests by rank, 1
     on average, by number; `served` are the numbers of those that ended in time.
     `late_slot_ms` is the time in slots of requests that did not.
     """
@@ -67,6 +79,29 @@
     )
     served: set[int] = field(default_factory=set)
     late_slot_ms: int = 0
+    waiting_slot_steps: int = 0
+    waiting_used_steps: int = 0
+    arrivals: int = 0
+    rejected: int = 0
+    requested_by_entry: Counter[str] = field(default_factory=Counter)
+    placed_by_entry: Counter[str] = field(default_factory=Counter)
+
+    @property
+    def used_while_waiting(self) -> float:
+        """Return the share of the slots in use while any request waits."""
+        return self.waiting_used_steps / max(self.waiting_slot_steps, 1)
+
+    @property
+    def rejected_share(self) -> float:
+        """Return the share of the arrivals at targets that found no free slot."""
+        return self.rejected / max(self.arrivals, 1)
+
+    def entry_shares(self) -> list[float]:
+        """Return the share of each entry's requests that were placed."""
+        return [
+            self.placed_by_entry[name] / requested
+            for name, requested in self.requested_by_entry.items()
+        ]
 
     def served_share(self, rank: int) -> float:
         """Return the share of the requests of `rank` that were placed."""
@@ -89,7 +124,10 @@
 
     Each entry reports to each peer once per `report_interval_ms`. `load` is the ratio
     of the requested slots to the existing ones. Requests are of `classes` in turn. The
-    targets are slower than the average one by `speeds` in turn.
+    targets are slower than the average one by `speeds` in turn. Entries get requests in
+    proportion to `weights` in turn. If `rejects`, targets have no queue. `is_lost`
+    tells whether a message from one entry to another is lost, `is_stopped` whether an
+    entry stands still, and `old_entries` are those that do not know the handover.
     """
 
     entries: int
@@ -100,6 +138,11 @@
     seed: int = 1
     slots: int = SLOTS
     speeds: tuple[float, ...] = (1.0,)
+    weights: tuple[float, ...] = (1.0,)
+    rejects: bool = False
+    is_lost: Callable[[str, str, int], bool] = lambda sender, receiver, now_ms: False
+    is_stopped: Callable[[str, int], bool] = lambda name, now_ms: False
+    old_entries: frozenset[str] = frozenset()
 
     def __post_init__(self) -> None:
         self.rng = random.Random(self.seed)
@@ -109,8 +152,15 @@
             scheduler.configure({"p": POOL})
             for number in range(self.targets):
                 scheduler.put_target(make_target(f"i-{number}", slots=self.slots))
+        self.cores = {
+            name: HandoverCore(name=name, user=scheduler)
+            for name, scheduler in self.schedulers.items()
+            if name not in self.old_entries
+        }
+        self.handover_bytes: Counter[str] = Counter()
         self.running: Counter[str] = Counter()
-        self.pending_ends: list[tuple[int, int, str, str, str]] = []
+        self.events: list[tuple[int, int, Callable[[int], None]]] = []
+        self.event_numbers = itertools.count()
         self.output_tokens: dict[int, int] = {}
         self.outcome = Outcome()
 
@@ -125,13 +175,20 @@
             / mean_service_ms
             / self.entries
         )
+        weights = [
+            self.weights[index % len(self.weights)] for index in range(self.entries)
+        ]
+        weights = [weight / fmean(weights) for weight in weights]
         request_numbers = itertools.count()
         steps = 0
         for now_ms in range(0, length_ms, STEP_MS):
-            self._end_requests(now_ms)
-            for name in self.names:
+            self._run_events(now_ms)
+            for index, name in enumerate(self.names):
+                if self.is_stopped(name, now_ms):
+                    continue
                 self._report_to_peers(name, now_ms)
-                while self.rng.random() < requests_per_step / (1 + requests_per_step):
+                mean = requests_per_step * weights[index]
+                while self.rng.random() < mean / (1 + mean):
                     self._submit(name, next(request_numbers), now_ms)
                 self._schedule(name, now_ms)
             if now_ms >= length_ms / 4:
@@ -149,6 +206,7 @@
         self.outcome.sizes[rank][number] = size
         self.outcome.requested[rank] += 1
         self.outcome.requested_at_ms[rank].append(now_ms)
+        self.outcome.requested_by_entry[name] += 1
         self.output_tokens[number] = int(request_class.output_tokens * size)
         job = Job(
             request_id=f"r-{number}",
@@ -175,13 +233,47 @@
         return min(size, MAX_SIZE)
 
     def _schedule(self, name: str, now_ms: int) -> None:
-        for decision in self.schedulers[name].schedule(now_ms=now_ms):
+        scheduler = self.schedulers[name]
+        decisions = scheduler.schedule(now_ms=now_ms)
+        self._start(name, decisions, now_ms)
+        if name in self.cores:
+            self._send(name, self.cores[name].collect(now_ms=now_ms), now_ms)
+
+    def _send(self, name: str, outgoing: list[Outgoing], now_ms: int) -> None:
+        for each in outgoing:
+            self.handover_bytes[name] += len(encode_datagram(each.message))
+            if not self.is_lost(name, each.peer, now_ms):
+                self._add_event(now_ms + LATENCY_MS, partial(self._receive, each))
+
+    def _receive(self, outgoing: Outgoing, now_ms: int) -> None:
+        name = outgoing.peer
+        if name not in self.cores or self.is_stopped(name, now_ms):
+            return
+        result = self.cores[name].handle(outgoing.message, now_ms=now_ms)
+        self._start(name, result.placements, now_ms)
+        self._send(name, result.outgoing, now_ms)
+        self._schedule(name, now_ms)
+
+    def _add_event(self, at_ms: int, action: Callable[[int], None]) -> None:
+        heapq.heappush(self.events, (at_ms, next(self.event_numbers), action))
+
+    def _start(self, name: str, decisions: Sequence[Decision], now_ms: int) -> None:
+        for decision in decisions:
             if not isinstance(decision, Placement):
                 continue
             target = decision.target
-            self.running[target] += 1
             load = self.schedulers[name].load(target)
             assert load is not None
+            self.outcome.arrivals += 1
+            if self.running[target] >= self.slots:
+                self.outcome.rejected += 1
+                if self.rejects:
+                    load.record_rejection(decision.job.request_id, now_ms=now_ms)
+                    decision.job.excluded_targets.add(target)
+                    self.schedulers[name].submit(decision.job, now_ms=now_ms)
+                    continue
+            self.running[target] += 1
+            self.outcome.placed_by_entry[name] += 1
             load.record_first_event(decision.job.request_id, now_ms=now_ms)
             self.outcome.placed[decision.job.rank] += 1
             self.outcome.placed_at_ms[decision.job.rank].append(now_ms)
@@ -201,23 +293,24 @@
             else:
                 duration_ms = remaining_ms
                 self.outcome.late_slot_ms += duration_ms
-            end = (now_ms + duration_ms, self.rng.random())
             request_id = decision.job.request_id
-            heapq.heappush(
-                self.pending_ends, (end[0], hash(end), name, target, request_id)
+            self._add_event(
+                now_ms + duration_ms, partial(self._end, name, target, request_id)
             )
 
-    def _end_requests(self, now_ms: int) -> None:
-        while self.pending_ends and self.pending_ends[0][0] <= now_ms:
-            _, _, name, target, request_id = heapq.heappop(self.pending_ends)
-            self.running[target] -= 1
-            load = self.schedulers[name].load(target)
-            assert load is not None
-            tokens = self.output_tokens[int(request_id.removeprefix("r-"))]
-            events = 1 + tokens // POOL.event_tokens
-            load.record_completed(
-                request_id, events=events, tokens=tokens, now_ms=now_ms
-            )
+    def _run_events(self, now_ms: int) -> None:
+        while self.events and self.events[0][0] <= now_ms:
+            at_ms, _, action = heapq.heappop(self.events)
+            action(at_ms)
+
+    def _end(self, name: str, target: str, request_id: str, now_ms: int) -> None:
+        self.running[target] -= 1
+        load = self.schedulers[name].load(target)
+        assert load is not None
+        tokens = self.output_tokens[int(request_id.removeprefix("r-"))]
+        events = 1 + tokens // POOL.event_tokens
+        load.record_completed(request_id, events=events, tokens=tokens, now_ms=now_ms)
+        if not self.is_stopped(name, now_ms):
             self._schedule(name, now_ms)
 
     def _report_to_peers(self, name: str, now_ms: int) -> None:
@@ -228,6 +321,8 @@
         for number, peer in enumerate(self.names):
             if peer == name or (number + own_index + now_ms // STEP_MS) % report_steps:
                 continue
+            if self.is_stopped(peer, now_ms) or self.is_lost(name, peer, now_ms):
+                continue
             receiver = self.schedulers[peer]
             for load in sender.loads():
                 peer_load = PeerLoad(
@@ -242,9 +337,17 @@
                 (short_hash(pool), rank, count)
                 for pool, rank, count in sender.waiting_by_rank()
             ]
-            receiver.update_peer_queue(name, waiting, now_ms=now_ms)
+            receiver.update_peer_queue(
+                name, waiting, takes_offers=name in self.cores, now_ms=now_ms
+            )
 
     def _measure(self) -> None:
+        if any(scheduler.waiting() for scheduler in self.schedulers.values()):
+            self.outcome.waiting_slot_steps += self.targets * self.slots
+            self.outcome.waiting_used_steps += sum(
+                min(self.running[f"i-{number}"], self.slots)
+                for number in range(self.targets)
+            )
         for number in range(self.targets):
             running = self.running[f"i-{number}"]
             self.outcome.used_share += min(running, self.slots)
