--- a/pistachiohaven/components/gateway/_metrics.py
+++ b/pistachiohaven/components/gateway/_metrics.py
@@ -88,6 +88,17 @@
             "Targets held to be cold",
             registry=self.registry,
         )
+        self.slots_offered = Counter(
+            "gateway_slots_offered",
+            "Freed slots offered to peers",
+            registry=self.registry,
+        )
+        self.slots_received = Counter(
+            "gateway_slots_received",
+            "Offers of peers by what became of them here",
+            ["outcome"],
+            registry=self.registry,
+        )
         self.connections_opened = Gauge(
             "gateway_connections_opened",
             "Connections opened to targets since the start",
--- a/tests/components/placement/test_evacuation.py
+++ b/tests/components/placement/test_evacuation.py
@@ -225,3 +225,14 @@
     fill(scheduler, 2)
     scheduler.submit(job("w"), now_ms=0)
     assert scheduler.schedule(now_ms=0) == []
+
+
+def test_slot_that_a_peer_offers_is_not_used_in_an_evacuated_data_centre() -> None:
+    scheduler, evacuations = make_evacuated("a", "b", slots=1)
+    fill(scheduler, 2)
+    scheduler.submit(job("w"), now_ms=0)
+    evacuate(scheduler, evacuations, "a")
+    load = scheduler.load("i-a")
+    assert load is not None
+    offered = scheduler.accept_slot(load.incarnation_hash, max_rank=255, now_ms=0)
+    assert offered is None
--- a/tests/components/placement/test_homes.py
+++ b/tests/components/placement/test_homes.py
@@ -97,3 +97,16 @@
     assert scheduler.submit(job("x", regions=NORTH), now_ms=0) is not None
     scheduler.set_regions({"unknown": "north"})
     assert scheduler.submit(job("y", regions=NORTH), now_ms=0) is None
+
+
+def test_slot_that_a_peer_offers_is_not_used_outside_of_the_home_regions() -> None:
+    scheduler = make_scheduler("n-1", "s-1")
+    fill(scheduler, 2)
+    scheduler.submit(job("x", regions=NORTH), now_ms=0)
+    south = scheduler.load("i-s-1")
+    north = scheduler.load("i-n-1")
+    assert south is not None
+    assert north is not None
+    for load, is_used in ((south, False), (north, True)):
+        placement = scheduler.accept_slot(load.incarnation_hash, max_rank=255, now_ms=0)
+        assert (placement is not None) is is_used
