Explain what the scheduler would do with a job, without doing it

An operator can't ask why a request would wait or be refused without sending it. Scheduler.explain submits the job to a copy of what decides about its pool, so the code that decides is the only one; targets name each objection. QuotaLedger.copy_account does the same for a charge.

--- a/pistachiohaven/components/placement/_load.py
+++ b/pistachiohaven/components/placement/_load.py
@@ -1,6 +1,7 @@
 """Load and speed of one target."""
 
 from collections import OrderedDict, deque
+from collections.abc import Iterator
 from dataclasses import dataclass
 
 from pistachiohaven.components.evacuation import Evacuations
@@ -11,6 +12,7 @@
 from pistachiohaven.const import MS_PER_S
 from pistachiohaven.helpers import Ewma
 
+from ._explanation import Objection
 from ._job import Job
 from .const import (
     CACHE_MEMORY_SHARE,
@@ -108,6 +110,7 @@
         self._prefill_rate = Ewma(weight=SPEED_EWMA_WEIGHT)
         self._service_ms = Ewma(weight=SPEED_EWMA_WEIGHT)
         self._failure_share = Ewma(weight=FAILURE_EWMA_WEIGHT)
+        self._measured_ms: int | None = None
         self._failures_in_row = 0
         self._excluded_until_ms = 0
         self._is_probing = False
@@ -308,6 +311,49 @@
         """Return the monotonic time at which the exclusion ends."""
         return self._excluded_until_ms
 
+    def objections(self, job: Job, *, now_ms: int) -> Iterator[Objection]:
+        """Yield what speaks against using the target for `job` now.
+
+        Of `is_usable`, `has_free_slot` and `can_end_in_time`, all that are False have
+        at least one.
+        """
+        if self.is_leaving:
+            yield Objection.LEAVING
+        if self.is_evacuated:
+            yield Objection.EVACUATED
+        if self.paused_ms(now_ms=now_ms):
+            yield Objection.PAUSED
+        if now_ms < self._excluded_until_ms:
+            yield Objection.EXCLUDED
+        if self._allowed_requests(now_ms=now_ms) < 1:
+            yield Objection.RATE_LIMIT
+        if self._is_probing and self.own_running:
+            yield Objection.PROBED
+        if self.running(now_ms=now_ms) >= self.target.slots:
+            yield Objection.FULL
+        if not self.can_end_in_time(job, now_ms=now_ms):
+            yield Objection.TOO_SLOW
+
+    def peer_report_age_ms(self, *, now_ms: int) -> int | None:
+        """Return the age in ms of the oldest report that counts, None without any."""
+        ages = [
+            now_ms - peer.reported_ms for peer in self._live_peer_loads(now_ms=now_ms)
+        ]
+        return max(ages, default=None)
+
+    def measured_age_ms(self, *, now_ms: int) -> int | None:
+        """Return the age in ms of this entry's last measurement here, or None."""
+        return None if self._measured_ms is None else now_ms - self._measured_ms
+
+    def prepare_copy(self, memo: dict[int, object]) -> None:
+        """Add to the `memo` of a deep copy what is shared or has a cheaper copy.
+
+        A placement adds to the running requests and cached prompts, and changes none.
+        """
+        for shared in (self.target, *self._peers.values(), *self._running.values()):
+            memo[id(shared)] = shared
+        memo[id(self._prompt_cache)] = self._prompt_cache.copy()
+
     def expected_ms(self, job: Job, *, now_ms: int) -> float:
         """Return the expected duration of `job` in ms, increased by recent failures."""
         penalty = 1.0 + FAILURE_PENALTY * self.failed_share
@@ -379,6 +425,7 @@
                 bound * DEFAULT_PREFILL_TOKENS_PER_MS for bound in SPEED_FACTOR_BOUNDS
             )
             self._prefill_rate.add(min(max(rate, low), high))
+            self._measured_ms = now_ms
 
     def record_events(
         self, request_id: str, *, events: int, tokens: int, now_ms: int
@@ -409,6 +456,7 @@
         if running is None:
             return
         self._service_ms.add(max(now_ms - running.sent_ms, 1))
+        self._measured_ms = now_ms
         self._sample_token_ms(running, events=events, tokens=tokens, now_ms=now_ms)
 
     def _sample_token_ms(
@@ -426,6 +474,7 @@
         low, high = (bound * DEFAULT_TOKEN_MS for bound in SPEED_FACTOR_BOUNDS)
         sample = min(max(sample, low), high)
         self._token_ms.add(sample)
+        self._measured_ms = now_ms
         self._pool_token_ms.add(sample)
         running.sampled_ms = now_ms
         running.sampled_events = events
--- a/pistachiohaven/components/placement/_peer_queues.py
+++ b/pistachiohaven/components/placement/_peer_queues.py
@@ -60,6 +60,11 @@
         }
         return list(names)
 
+    def oldest_age_ms(self, *, now_ms: int) -> int | None:
+        """Return the age in ms of the oldest report that counts, None without any."""
+        ages = [now_ms - queue.reported_ms for queue in self._queues.values()]
+        return max((age for age in ages if age < PEER_QUEUE_TTL_MS), default=None)
+
     def _waiting(self, pool: str, *, now_ms: int) -> Iterator[tuple[str, int, int]]:
         """Yield peer, rank and count of the requests that wait for `pool`."""
         wanted_hash = short_hash(pool)
--- a/pistachiohaven/components/placement/_scheduler.py
+++ b/pistachiohaven/components/placement/_scheduler.py
@@ -1,7 +1,8 @@
 """Scheduler of the requests that wait for a slot at a target."""
 
 from collections import Counter, defaultdict
-from collections.abc import Mapping, Sequence
+from collections.abc import Iterator, Mapping, Sequence
+from copy import copy, deepcopy
 from dataclasses import replace
 
 from pistachiohaven.components.evacuation import Evacuations
@@ -11,6 +12,7 @@
 from pistachiohaven.core import Reason
 from pistachiohaven.helpers import Ewma, rendezvous_order, stable_fraction
 
+from ._explanation import Explanation, Objection, explain_trial
 from ._job import Decision, Job, Placement, Refusal
 from ._load import PeerLoad, TargetLoad
 from ._order import ServingOrder, measure_speed
@@ -203,6 +205,48 @@
         self._is_capacity_lost = False
         return decisions
 
+    def explain(self, job: Job, *, now_ms: int) -> Explanation:
+        """Return what would happen to `job` if it were submitted now.
+
+        A copy of this scheduler decides that; this one stays as it is.
+        """
+        return explain_trial(self._copy_pool(job.pool), job, now_ms=now_ms)
+
+    def objections(
+        self, load: TargetLoad, job: Job, *, now_ms: int
+    ) -> Iterator[Objection]:
+        """Yield what speaks against using the target of `load` for `job` now."""
+        if not _runs_version(load, job):
+            yield Objection.OTHER_VERSION
+        if not self._is_in_home_region(load, job):
+            yield Objection.OTHER_REGION
+        if load.target.name in job.excluded_targets:
+            yield Objection.EXCLUDED
+        yield from load.objections(job, now_ms=now_ms)
+        if load.has_free_slot(now_ms=now_ms) and not self._may_use_slot(
+            load, job, now_ms=now_ms
+        ):
+            max_running = self._max_own_running(load, now_ms=now_ms)
+            is_start_share = load.own_running >= max_running
+            yield Objection.START_SHARE if is_start_share else Objection.LEFT_TO_PEERS
+
+    def peer_queue(self, job: Job, *, now_ms: int) -> tuple[int, int | None]:
+        """Return how many more urgent requests wait at peers, and the reports' age.
+
+        The age is that of the oldest report in ms, None without any.
+        """
+        requests = self._peer_queues.requests_before(job.pool, job.rank, now_ms=now_ms)
+        return requests, self._peer_queues.oldest_age_ms(now_ms=now_ms)
+
+    def max_wait_ms(self, job: Job, *, now_ms: int) -> float:
+        """Return for how many ms from now `job` may wait for a slot."""
+        return self._queue_deadline_ms(job, now_ms=now_ms) - now_ms
+
+    def place_in_queue(self, job: Job) -> int:
+        """Return the place of `job` in the last order, 0 if it does not wait."""
+        jobs = self._waiting.get(job.pool, [])
+        return jobs.index(job) + 1 if job in jobs else 0
+
     def has_alternative(self, job: Job, target: str, *, now_ms: int) -> bool:
         """Return True if a target other than `target` may be used for `job`."""
         excluded_names = job.excluded_targets | {target}
@@ -631,6 +675,29 @@
             if _runs_version(load, job) and self._is_in_home_region(load, job)
         ]
 
+    def _copy_pool(self, pool: str) -> "Scheduler":
+        """Return a copy of what decides about the jobs of `pool`.
+
+        It shares only what neither `submit` nor `schedule` changes.
+        """
+        part = copy(self)
+        part._loads = {
+            name: load for name, load in self._loads.items() if load.target.pool == pool
+        }
+        part._waiting = {pool: self._waiting.get(pool, [])}
+        shared = (
+            self._notices,
+            self._evacuations,
+            self._regions,
+            self._pools,
+            self._peer_queues,
+            *part._waiting[pool],
+        )
+        memo: dict[int, object] = {id(each): each for each in shared}
+        for load in part._loads.values():
+            load.prepare_copy(memo)
+        return deepcopy(part, memo)
+
     def _is_in_home_region(self, load: TargetLoad, job: Job) -> bool:
         """Return True if the target is in a region of `job`, or `job` has none.
 
--- a/pistachiohaven/components/quota/_core.py
+++ b/pistachiohaven/components/quota/_core.py
@@ -1,6 +1,8 @@
 """Token quotas of organisations, shared by all entries."""
 
 import random
+from copy import copy, deepcopy
+from dataclasses import replace
 
 from pistachiohaven.components.exchange import short_hash
 from pistachiohaven.components.fleet import Organisation
@@ -118,6 +120,29 @@
         account.rounding = self._rng.random()
         return None
 
+    def copy_account(self, organisation: str) -> "QuotaLedger":
+        """Return a copy for one organisation: what is charged there isn't charged here.
+
+        A copied `charge` says what this ledger would say now.
+        """
+        trial = copy(self)
+        trial._rng = random.Random(0)
+        trial._accounts = {
+            name: deepcopy(account)
+            for name, account in self._accounts.items()
+            if name == organisation
+        }
+        trial._peers = {
+            name: replace(
+                peer,
+                stale_share_tokens=None
+                if peer.stale_share_tokens is None
+                else dict(peer.stale_share_tokens),
+            )
+            for name, peer in self._peers.items()
+        }
+        return trial
+
     def refund(
         self, organisation: str, tokens: int, *, charged_ms: int, now_ms: int
     ) -> None:
