Add a command that tells where a request would go now

To learn why a request would wait or be refused, an operator had to send it. 'where' asks a running gateway's control address. The question goes through the admission, the quota, the quarantine and a copy of the scheduler that decide about real requests; admit_call and caller_reason are split off so that both use them.

Not run: the whole suite.

--- a/pistachiohaven/components/cli/_commands.py
+++ b/pistachiohaven/components/cli/_commands.py
@@ -3,6 +3,7 @@
 import sys
 from pathlib import Path
 
+from fire.decorators import SetParseFns
 from result import Err
 
 from pistachiohaven import bootstrap
@@ -68,6 +69,41 @@
 
         sys.stdout.write(fetch_status(url))
 
+    @SetParseFns(str, host=str, path=str, organisation=str, key=str, parts=str)  # type: ignore[untyped-decorator]
+    def where(
+        self,
+        url: str,
+        *,
+        host: str,
+        path: str,
+        organisation: str | None = None,
+        key: str | None = None,
+        prompt_tokens: int | None = None,
+        max_output_tokens: int | None = None,
+        expected_output_tokens: int | None = None,
+        parts: str | None = None,
+        as_json: bool = False,
+    ) -> None:
+        """Print where a request would go now, and why, without sending it.
+
+        URL is the control address (ip:port) of a running gateway. PARTS of the prompt
+        are id:tokens,id:tokens; the last one belongs to one session only.
+        """
+        from ._where import fetch_where, where_json, where_text  # noqa: PLC0415
+
+        question = {
+            "host": host,
+            "path": path,
+            "organisation": organisation,
+            "key": key,
+            "prompt_tokens": prompt_tokens,
+            "max_output_tokens": max_output_tokens,
+            "expected_output_tokens": expected_output_tokens,
+            "parts": parts,
+        }
+        answer = fetch_where(url, question)
+        sys.stdout.write(where_json(answer) if as_json else where_text(answer))
+
     def load(self, url: str, *, settings: str, as_json: bool = False) -> None:
         """Run the load of the settings file SETTINGS against the entries at URL."""
         from pistachiohaven.components.load import run_load  # noqa: PLC0415
--- a/pistachiohaven/components/gateway/_app.py
+++ b/pistachiohaven/components/gateway/_app.py
@@ -23,15 +23,15 @@
 from pistachiohaven.core import Reason
 from pistachiohaven.helpers import BoundedLog
 
-from ._call import BAD_REQUEST, Call, RequestError, parse_call
+from ._admit import admit_call
+from ._call import BAD_REQUEST, Call, RequestError
 from ._connections import ConnectionPool
 from ._request import UNAVAILABLE, IncompleteResponseError, RequestHandler
 from ._response import ResponseWriter
 from ._state import GatewayState
 from ._store_watch import STORE_RECORDS_PATH, encode_store_response
+from ._where import WHERE_PATH, send_where
 from .const import (
-    CONFIG_STALE_AFTER_MS,
-    DRAIN_ACCEPT_MS,
     MAX_REFUSED_BODY_BYTES,
     MIN_RETRY_AFTER_MS,
     NO_CONFIG_RETRY_AFTER_MS,
@@ -86,7 +86,8 @@
             is_draining=state.is_draining,
             has_caller_left=partial(has_caller_left, scope),
         )
-        call = self._admit(scope, now_ms=now_ms)
+        split_fraction = state.rng.random()
+        call = admit_call(state, scope, split_fraction=split_fraction, now_ms=now_ms)
         if isinstance(call, RequestError):
             await self._refuse_on_arrival(scope, receive, response, call)
             return
@@ -98,25 +99,6 @@
             self.in_flight -= 1
             state.metrics.in_flight.set(self.in_flight)
 
-    def _admit(self, scope: Scope, *, now_ms: int) -> Call | RequestError:
-        """Return the parsed request, or why it is refused on arrival."""
-        state = self._state
-        draining_since_ms = state.draining_since_ms
-        if (
-            draining_since_ms is not None
-            and now_ms - draining_since_ms >= DRAIN_ACCEPT_MS
-        ):
-            return RequestError(status=UNAVAILABLE, reason=Reason.DRAINING)
-        if state.route_table is None:
-            return RequestError(status=UNAVAILABLE, reason=Reason.NO_SETTINGS)
-        split_fraction = state.rng.random()
-        parsed = parse_call(
-            scope, state.route_table, split_fraction=split_fraction, now_ms=now_ms
-        )
-        if isinstance(parsed, Err):
-            return self._adjust_for_stale_config(parsed.err_value)
-        return parsed.ok_value
-
     async def _refuse_on_arrival(
         self,
         scope: Scope,
@@ -146,22 +128,6 @@
         )
         await self._send_refusal(response, request_error, attempt_id, retry_after_ms)
 
-    def _adjust_for_stale_config(self, request_error: RequestError) -> RequestError:
-        """Return `request_error`, or a retryable one if the configuration may be stale.
-
-        A newer configuration may contain the unknown route or key. An invalid request
-        stays invalid.
-        """
-        age_ms = self._state.config_age_ms()
-        is_stale = age_ms is None or age_ms > CONFIG_STALE_AFTER_MS
-        if request_error.status == BAD_REQUEST or not is_stale:
-            return request_error
-        return RequestError(
-            status=UNAVAILABLE,
-            reason=request_error.reason,
-            detail="configuration is stale",
-        )
-
     async def _handle_call(
         self, call: Call, response: ResponseWriter, receive: Receive
     ) -> None:
@@ -293,6 +259,8 @@
             after_revision = int(after) if after.isdigit() else 0
             body = encode_store_response(self._state, after=after_revision)
             await send_response(send, status=OK, headers=[], body=body)
+        elif path == WHERE_PATH:
+            await send_where(self._state, scope, send)
         elif path == "/status":
             await send_json(send, status=OK, content=self._build_status())
         else:
--- a/pistachiohaven/components/gateway/_request.py
+++ b/pistachiohaven/components/gateway/_request.py
@@ -132,12 +132,7 @@
             decision = await self._state.placer.place(self._job)
             if isinstance(decision, Refusal):
                 self._log_refusal(decision)
-                reason = decision.reason
-                if (
-                    reason is Reason.NO_HOME_TARGET
-                    and not self._state.is_target_list_current()
-                ):
-                    reason = Reason.NO_TARGET
+                reason = self._state.caller_reason(decision.reason)
                 await self._respond_without_target(reason, decision.retry_after_ms)
                 return
             if self._response.has_caller_left():
--- a/pistachiohaven/components/gateway/_state.py
+++ b/pistachiohaven/components/gateway/_state.py
@@ -35,6 +35,7 @@
 from pistachiohaven.components.retry import WindowBudget
 from pistachiohaven.config import GatewaySettings
 from pistachiohaven.const import MS_PER_S
+from pistachiohaven.core import Reason
 from pistachiohaven.helpers import Clock, ComponentLogger, make_uuid7
 
 from ._crashes import CrashChecks, CrashLink
@@ -211,6 +212,15 @@
         )
         return newer_peer is None
 
+    def caller_reason(self, reason: Reason) -> Reason:
+        """Return the reason for which a request is refused, as far as is known.
+
+        A target in the regions of the request may be in a newer list.
+        """
+        if reason is Reason.NO_HOME_TARGET and not self.is_target_list_current():
+            return Reason.NO_TARGET
+        return reason
+
     def retry_budget(self, pool: str) -> WindowBudget:
         """Return the retry budget of `pool`."""
         if pool not in self._retry_budgets:
--- a/pistachiohaven/platform/_calls.py
+++ b/pistachiohaven/platform/_calls.py
@@ -118,6 +118,31 @@
     )
 
 
+def encode_call(head: CallHead) -> Headers:
+    """Return the headers of a caller's request that `decode_call` reads as `head`.
+
+    Raises UnicodeEncodeError for text with characters that a header can't have.
+    """
+    parts = ",".join(f"{part}:{tokens}" for part, tokens in head.prompt_parts)
+    counts = f"{head.prompt_tokens},{head.max_output_tokens}"
+    values = {
+        b"host": head.host,
+        wire.ATTEMPT_ID: head.attempt_id,
+        wire.CREDENTIAL: head.api_key,
+        wire.DEADLINE_MS: head.remaining_ms,
+        wire.TOKEN_COUNTS: counts if head.has_token_counts else None,
+        wire.LENGTH_HINT: head.expected_output_tokens,
+        wire.PROMPT_PARTS: parts or None,
+        wire.LAST_EVENT_ID: head.last_event_id,
+        wire.RESUMES: head.resumes,
+    }
+    return [
+        (name, str(value).encode("latin-1"))
+        for name, value in values.items()
+        if value is not None
+    ]
+
+
 def _parse_prompt_parts(value: bytes) -> tuple[tuple[str, int], ...]:
     """Return (id, tokens) of each part; raise ValueError if a number is invalid."""
     prompt_parts = []
--- a/tests/components/cli/test_commands.py
+++ b/tests/components/cli/test_commands.py
@@ -1,5 +1,6 @@
 """Test the commands that validate and print settings, and the help text."""
 
+import socket
 from pathlib import Path
 
 import pytest
@@ -75,3 +76,13 @@
     with pytest.raises(SystemExit):
         Commands().check(str(invalid))
     assert "retry_ratio" in capsys.readouterr().err
+
+
+def test_where_names_a_gateway_that_does_not_answer() -> None:
+    with (
+        socket.create_server(("127.0.0.1", 0)) as server,
+        pytest.raises(SettingsError, match="no response"),
+    ):
+        address = "{}:{}".format(*server.getsockname())
+        server.close()
+        Commands().where(address, host="a.example", path="/x")
--- a/tests/components/quota/test_core.py
+++ b/tests/components/quota/test_core.py
@@ -1,5 +1,6 @@
 """Tests of token quotas across several entries."""
 
+import pickle
 import random
 
 import pytest
@@ -362,3 +363,25 @@
     served_share = sum(is_served for _, is_served in served) / len(served)
     largest_share = sum(is_served for _, is_served in largest) / len(largest)
     assert largest_share >= 0.75 * served_share
+
+
+@pytest.mark.parametrize("seed", range(40))
+def test_a_copied_account_charges_alike_and_leaves_the_ledger_as_it_is(
+    seed: int,
+) -> None:
+    rng = random.Random(seed)
+    ledger = make_ledger(rate=100.0, burst=500.0)
+    ledger.set_expected_peers(rng.randint(0, 3))
+    now_ms = 0
+    for _ in range(rng.randint(0, 40)):
+        now_ms += rng.randint(1, 900)
+        ledger.charge("org", rng.randint(1, 9_000), now_ms=now_ms)
+        if rng.random() < 0.4:
+            used = {short_hash("org"): rng.randint(0, 900)}
+            ledger.apply_peer_usage("peer", used, uptime_ms=now_ms, now_ms=now_ms)
+    now_ms += rng.randint(1, 9_000)
+    tokens = rng.randint(1, 20_000)
+    before = pickle.dumps(ledger)
+    predicted = ledger.copy_account("org").charge("org", tokens, now_ms=now_ms)
+    assert pickle.dumps(ledger) == before
+    assert ledger.charge("org", tokens, now_ms=now_ms) == predicted
--- a/tests/platform/test_calls.py
+++ b/tests/platform/test_calls.py
@@ -10,6 +10,7 @@
     decode_leaving,
     decode_pause,
     decode_rate_limit,
+    encode_call,
     encode_dispatch,
     encode_refusal,
     find_attempt_id,
@@ -224,3 +225,8 @@
     assert head.resumes == "77aa"
     assert decode_call(HEAD).unwrap().resumes is None
     assert dispatch(headers)[b"resumes"] == b"77aa"
+
+
+def test_an_encoded_head_is_decoded_alike() -> None:
+    head = decoded(HEAD)
+    assert decoded(encode_call(head)) == head
