Reuse freed slots of a target up to 1.1 requests per slot

Cause: with 20 gateways 0.109 of the slots were taken twice (bound 0.1); a test of shortened digests failed, since the new last field of a digest was no empty array.

Change: the bound on running requests is 1.1 per slot, what callers do not notice. The digest names the messages that its sender knows.

--- a/pistachiohaven/components/exchange/__init__.py
+++ b/pistachiohaven/components/exchange/__init__.py
@@ -2,6 +2,7 @@
 
 from ._core import Exchange, Peer, PeerEvents, Recipient
 from ._messages import (
+    SLOT_OFFER_TAG,
     CrashReport,
     Datagram,
     Digest,
@@ -29,6 +30,7 @@
 )
 
 __all__ = [
+    "SLOT_OFFER_TAG",
     "CrashReport",
     "Datagram",
     "Digest",
--- a/pistachiohaven/components/exchange/_core.py
+++ b/pistachiohaven/components/exchange/_core.py
@@ -7,7 +7,7 @@
 from pistachiohaven.const import MS_PER_S
 from pistachiohaven.helpers import TtlMap, rendezvous_order
 
-from ._messages import Digest, Member, Update, short_hash
+from ._messages import SLOT_OFFER_TAG, Digest, Member, Update, short_hash
 from .const import (
     ADDRESSES_PER_UPDATE,
     FAN_OUT,
@@ -148,7 +148,7 @@
         peer.sequence = digest.sequence
         peer.revision = digest.revision
         peer.leaving = digest.leaving
-        peer.takes_offers = digest.takes_offers
+        peer.takes_offers = SLOT_OFFER_TAG in digest.known_messages
         peer.last_received_ms = now_ms
         for member in digest.members:
             self._add_peer(member, now_ms=now_ms)
--- a/pistachiohaven/components/exchange/_messages.py
+++ b/pistachiohaven/components/exchange/_messages.py
@@ -10,6 +10,7 @@
 
 PORT_BYTES = 2
 IP_BYTES = (4, 16)
+SLOT_OFFER_TAG = 7
 
 
 class Member(msgspec.Struct, array_like=True, frozen=True, kw_only=True):
@@ -101,8 +102,8 @@
     usage of all entries within the quota window, as known to the sender; only peers
     that do not know the sender yet get it. `rate_limits` are all that it knows,
     `leaving_targets` those that said lately that they leave, and `part_crashes` those
-    of the parts with most crashes. `addresses` are as in an update. `takes_offers` is
-    True if the sender knows the messages that hand over slots.
+    of the parts with most crashes. `addresses` are as in an update. `known_messages`
+    are the tags of the messages that not every version of an entry knows.
     """
 
     sender: Member
@@ -121,7 +122,7 @@
     leaving_targets: tuple[LeavingTargetReport, ...] = ()
     part_crashes: tuple[PartCrashReport, ...] = ()
     addresses: tuple[bytes, ...] = ()
-    takes_offers: bool = False
+    known_messages: tuple[int, ...] = ()
 
 
 class Update(msgspec.Struct, array_like=True, frozen=True, kw_only=True, tag=1):
@@ -192,7 +193,9 @@
     reports: tuple[PartCrashReport, ...]
 
 
-class SlotOffer(msgspec.Struct, array_like=True, frozen=True, kw_only=True, tag=7):
+class SlotOffer(
+    msgspec.Struct, array_like=True, frozen=True, kw_only=True, tag=SLOT_OFFER_TAG
+):
     """Slot that the receiver may use now for a request of `max_rank` or above.
 
     `owner` is the hash of the incarnation whose request freed the slot, `number` its
--- a/pistachiohaven/components/gateway/_peers.py
+++ b/pistachiohaven/components/gateway/_peers.py
@@ -7,6 +7,7 @@
 from result import Err
 
 from pistachiohaven.components.exchange import (
+    SLOT_OFFER_TAG,
     Datagram,
     Digest,
     DigestRequest,
@@ -172,7 +173,7 @@
             leaving_targets=self._leaving_reports(changed_only=False, now_ms=now_ms),
             part_crashes=state.crash_link.reports(changed_only=False),
             addresses=self._sample_addresses(now_ms=now_ms),
-            takes_offers=True,
+            known_messages=(SLOT_OFFER_TAG,),
         )
 
     def _build_update(self, *, now_ms: int) -> Update:
--- a/pistachiohaven/components/placement/const.py
+++ b/pistachiohaven/components/placement/const.py
@@ -124,5 +124,5 @@
 MAX_REJECTED_USES: Final = 3
 """Doublings of that time after the target was full when it seemed to have a slot."""
 
-MAX_EXCESS_RATIO: Final = 1.2
+MAX_EXCESS_RATIO: Final = 1.1
 """Running requests per slot above which some of the freed slots are not reused."""
--- a/tests/components/placement/test_overload.py
+++ b/tests/components/placement/test_overload.py
@@ -7,7 +7,7 @@
 
 @pytest.mark.parametrize(
     ("entries", "targets", "report_interval_ms"),
-    [(5, 6, 100), pytest.param(20, 19, 560, marks=pytest.mark.known_red)],
+    [(5, 6, 100), (20, 19, 560)],
 )
 def test_slots_are_neither_overcommitted_nor_left_idle(
     entries: int, targets: int, report_interval_ms: int
