--- a/pistachiohaven/components/gateway/_peers.py
+++ b/pistachiohaven/components/gateway/_peers.py
@@ -8,6 +8,7 @@
 
 from pistachiohaven.components.cold import ColdReport
 from pistachiohaven.components.exchange import (
+    SLOT_OFFER_TAG,
     ColdTargetReport,
     Datagram,
     Digest,
@@ -176,7 +177,7 @@
             part_crashes=state.crash_link.reports(changed_only=False),
             addresses=self._sample_addresses(now_ms=now_ms),
             cold_targets=self._cold_reports(changed_only=False, now_ms=now_ms),
-            takes_offers=True,
+            known_messages=(SLOT_OFFER_TAG,),
         )
 
     def _build_update(self, *, now_ms: int) -> Update:
--- a/pistachiohaven/components/gateway/_where.py
+++ b/pistachiohaven/components/gateway/_where.py
@@ -266,6 +266,7 @@
         "objections": candidate.objections,
         "running": candidate.running,
         "own_running": candidate.own_running,
+        "own_freed_slots": candidate.own_freed_slots,
         "slots": candidate.slots,
         "paused_ms": candidate.paused_ms,
         "expected_ms": round(candidate.expected_ms),
--- a/pistachiohaven/components/placement/_scheduler.py
+++ b/pistachiohaven/components/placement/_scheduler.py
@@ -445,16 +445,20 @@
         self._peer_queues.record_offer(pool, claim)
         return claim.peer
 
-    def _assign_freed_slots(self, *, now_ms: int) -> list[Decision]:
-        """Use the slots that this entry freed, or offer them to peers.
-
-        Without claims of peers, the other rules decide about them.
-        """
+    def expire_offers(self, *, now_ms: int) -> None:
+        """Take back the slots that were offered to peers which did not reply."""
         for offer in self._offers.expire(now_ms=now_ms):
             self._peer_queues.drop_claims(offer.peer)
             load = self._loads.get(offer.target)
             if load is not None and load.incarnation_hash == offer.target_hash:
                 load.record_offer_end(user=None, now_ms=now_ms)
+
+    def _assign_freed_slots(self, *, now_ms: int) -> list[Decision]:
+        """Use the slots that this entry freed, or offer them to peers.
+
+        Without claims of peers, the other rules decide about them.
+        """
+        self.expire_offers(now_ms=now_ms)
         decisions: list[Decision] = []
         for load in self._loads.values():
             while load.own_freed_slots(now_ms=now_ms) and load.takes_request(
