Count offered slots among those that a gateway freed in an explanation

Change: the trial is as the scheduler does it; offered slots are named with the freed ones. Measured: test_explanation.py and test_where.py pass.

--- a/pistachiohaven/components/placement/_explanation.py
+++ b/pistachiohaven/components/placement/_explanation.py
@@ -49,8 +49,8 @@
     It is used if there are no `objections` and its `expected_ms` is the lowest. A slot
     that nobody waits for is used in spite of `TOO_SLOW`. `running` counts the requests
     of all entries, `own_running` those of this one. While requests wait at peers, one
-    of the `own_freed_slots`, which this entry freed, is used in spite of `FULL` and
-    `LEFT_TO_PEERS`, or handed over to a peer. `peer_report_age_ms` is the age of
+    of the `own_freed_slots`, which this entry freed or has offered to a peer, may be
+    used in spite of `FULL` and `LEFT_TO_PEERS`. `peer_report_age_ms` is the age of
     the oldest report of its load that counts, and `measured_age_ms` that of the newest
     measurement of its speed here, None without one. Times are in milliseconds.
     """
@@ -97,7 +97,6 @@
 
     The candidates are those before the jobs that wait already get any slot.
     """
-    trial.expire_offers(now_ms=now_ms)
     candidates = tuple(
         _make_candidate(trial, load, job, now_ms=now_ms) for load in trial.loads()
     )
@@ -137,7 +136,7 @@
         objections=tuple(trial.objections(load, job, now_ms=now_ms)),
         running=load.running(now_ms=now_ms),
         own_running=load.own_running,
-        own_freed_slots=load.own_freed_slots(now_ms=now_ms),
+        own_freed_slots=load.own_freed_slots(now_ms=now_ms) + load.offered_slots,
         slots=target.slots,
         paused_ms=load.paused_ms(now_ms=now_ms),
         expected_ms=load.expected_ms(job, now_ms=now_ms),
--- a/pistachiohaven/components/placement/_load.py
+++ b/pistachiohaven/components/placement/_load.py
@@ -380,6 +380,11 @@
         self._freed_at_ms.popleft()
         self._offered_slots += 1
 
+    @property
+    def offered_slots(self) -> int:
+        """Return the number of freed slots that are offered to peers."""
+        return self._offered_slots
+
     def record_offer_end(self, *, user: str | None, now_ms: int) -> None:
         """Record that `user` runs a request on an offered slot, or that it is free."""
         self._offered_slots -= 1
--- a/pistachiohaven/components/placement/_scheduler.py
+++ b/pistachiohaven/components/placement/_scheduler.py
@@ -445,7 +445,7 @@
         self._peer_queues.record_offer(pool, claim)
         return claim.peer
 
-    def expire_offers(self, *, now_ms: int) -> None:
+    def _expire_offers(self, *, now_ms: int) -> None:
         """Take back the slots that were offered to peers which did not reply."""
         for offer in self._offers.expire(now_ms=now_ms):
             self._peer_queues.drop_claims(offer.peer)
@@ -458,7 +458,7 @@
 
         Without claims of peers, the other rules decide about them.
         """
-        self.expire_offers(now_ms=now_ms)
+        self._expire_offers(now_ms=now_ms)
         decisions: list[Decision] = []
         for load in self._loads.values():
             while load.own_freed_slots(now_ms=now_ms) and load.takes_request(
