--- a/pistachiohaven/components/placement/_load.py
+++ b/pistachiohaven/components/placement/_load.py
@@ -97,13 +97,13 @@
         pool_token_ms: Ewma,
         rate_limits: RateLimits,
         notices: TargetNotices,
-        evacuations: Evacuations,
+        evacuations: Evacuations | None = None,
         cold_targets: ColdTargets | None = None,
     ) -> None:
         self.target = target
         self.incarnation_hash = short_hash(target.incarnation)
         self._notices = notices
-        self._evacuations = evacuations
+        self._evacuations = evacuations or Evacuations()
         self._rate_limits = rate_limits
         self._cold_targets = cold_targets or ColdTargets()
         self.is_engine = is_engine
