Switch the handover of slots on by a setting, off by default

Change: a gateway names the messages of the handover in its digests only with hands_over_slots; without such peers the time for which slots seem free is not measured. Tests of handover, peers, command line and settings pass.

--- a/pistachiohaven/components/gateway/_peers.py
+++ b/pistachiohaven/components/gateway/_peers.py
@@ -177,7 +177,7 @@
             part_crashes=state.crash_link.reports(changed_only=False),
             addresses=self._sample_addresses(now_ms=now_ms),
             cold_targets=self._cold_reports(changed_only=False, now_ms=now_ms),
-            known_messages=(SLOT_OFFER_TAG,),
+            known_messages=(SLOT_OFFER_TAG,) if settings.hands_over_slots else (),
         )
 
     def _build_update(self, *, now_ms: int) -> Update:
--- a/pistachiohaven/components/placement/_scheduler.py
+++ b/pistachiohaven/components/placement/_scheduler.py
@@ -634,8 +634,9 @@
         slots may be at other targets. Blocked jobs may still be refused.
         """
         decisions: list[Decision] = []
-        for pool_load in self._pool_loads(jobs[0].pool):
-            pool_load.free_for_ms(now_ms=now_ms)
+        if self._peer_queues.handover_delay_ms():
+            for pool_load in self._pool_loads(jobs[0].pool):
+                pool_load.free_for_ms(now_ms=now_ms)
         speed = measure_speed(self._pool_loads(jobs[0].pool))
         jobs[:] = self._order.sort(jobs, speed, now_ms=now_ms)
         is_blocked = False
--- a/pistachiohaven/config.py
+++ b/pistachiohaven/config.py
@@ -75,7 +75,8 @@
     request of a pool; 0 turns it off. A request is slow if it takes longer than the
     share `hedge_percentile` of 100 of those of its route, and `hedge_min_delay_ms`.
 
-    `regions` has the region of each data centre.
+    `regions` has the region of each data centre. With `hands_over_slots`, peers offer
+    this gateway the slots that they free for its waiting requests.
     """
 
     model_config = ConfigDict(extra="ignore", frozen=True)
@@ -100,6 +101,7 @@
     hedge_percentile: float = Field(default=95.0, ge=50.0, le=99.9)
     hedge_min_delay_ms: int = Field(default=10, ge=1, le=60_000)
     hedge_window_s: float = Field(default=60.0, ge=1.0, le=600.0)
+    hands_over_slots: bool = False
     region: str = ""
     regions: dict[str, str] = {}
 
--- a/tests/components/gateway/test_handover.py
+++ b/tests/components/gateway/test_handover.py
@@ -26,6 +26,13 @@
 
 def test_freed_slot_is_handed_to_the_gateway_with_a_waiting_request() -> None:
     async def test(first: PeerNode, second: PeerNode) -> None:
+        for node in (first, second):
+            state = node.gateway_state
+            state.settings = state.settings.model_copy(
+                update={"hands_over_slots": True}
+            )
+            for peer in state.exchange.peers():
+                peer.needs_digest = True
         for target in ("i-0", "i-1"):
             for number in range(4):
                 first.start_request(f"{target}-{number}", target)
