Log what the retry budget holds when a request is repeated or not

Cause: no line told what a gateway counts as requests and repeats, how long it has run, or how long a repeat waits between the decision and its dispatch, so that the hypotheses on repeats beyond the allowance could not be told apart. Change: lines repeat_sent and repeat_refused, from a view of the budget. Measured: tests of retries, hedges and the gateway pass; no logic changed.

--- a/pistachiohaven/components/gateway/_request.py
+++ b/pistachiohaven/components/gateway/_request.py
@@ -75,6 +75,7 @@
         self._sent_count = 0
         self._quota_charged_ms: int | None = None
         self._is_resend_budget_consumed = False
+        self._resend_decided_ms: int | None = None
         self._is_origin_recorded = False
         self._resumption_pauses = 0
         self._crashed_targets = 0
@@ -290,6 +291,7 @@
             self._is_dispatch_recorded = True
             state.hedge_policy.record_request(pool_name, now_ms=now_ms)
         self._possible_runs += 1
+        self._log_repeat(load)
         state.crash_link.record_dispatch(self._call.part_hashes, load)
         try:
             result = await dispatch.run()
@@ -356,6 +358,7 @@
         ):
             if not is_rejected_resumption:
                 self.reason = Reason.RETRY_BUDGET
+                self._log_no_budget()
                 return False
             await self._pause_resumption()
         self._is_resend_budget_consumed = False
@@ -440,6 +443,7 @@
         if failure is Failure.NOT_SENT:
             return True
         state = self._state
+        self._resend_decided_ms = state.clock.now_ms()
         return state.retry_budget(self._call.pool_name).try_acquire(
             entries=state.exchange.entry_count(), now_ms=state.clock.now_ms()
         )
@@ -560,6 +564,43 @@
             **self._quota_fields(),
         )
 
+    def _log_repeat(self, load: TargetLoad) -> None:
+        """Log a dispatch that is charged to the retry budget."""
+        if self._resend_decided_ms is None:
+            return
+        self._state.log.info(
+            "repeat_sent",
+            request_id=self._call.head.attempt_id,
+            target=load.target.name,
+            sent=self._sent_count,
+            waited_ms=self._state.clock.now_ms() - self._resend_decided_ms,
+            **self._budget_fields(),
+        )
+
+    def _log_no_budget(self) -> None:
+        """Log that a request is not repeated since the retry budget is used up."""
+        self._state.log.info(
+            "repeat_refused",
+            request_id=self._call.head.attempt_id,
+            sent=self._sent_count,
+            **self._budget_fields(),
+        )
+
+    def _budget_fields(self) -> dict[str, object]:
+        """Return the log fields of the pool's retry budget."""
+        state = self._state
+        view = state.retry_budget(self._call.pool_name).view(
+            entries=state.exchange.entry_count(), now_ms=state.clock.now_ms()
+        )
+        return {
+            "pool": self._call.pool_name,
+            "window_requests": view.requests,
+            "window_repeats": view.repeats,
+            "allowed_repeats": round(view.allowed, 1),
+            "entries": view.entries,
+            "age_ms": view.age_ms,
+        }
+
     def _quota_fields(self) -> dict[str, object]:
         """Return the log fields of the organisation's quota, as known here now."""
         organisation = self._call.organisation
--- a/pistachiohaven/components/retry/__init__.py
+++ b/pistachiohaven/components/retry/__init__.py
@@ -2,6 +2,13 @@
 
 from ._core import RetryBudgets
 from ._resend import Failure, Resend, resend_after
-from ._window import WindowBudget
+from ._window import BudgetView, WindowBudget
 
-__all__ = ["Failure", "Resend", "RetryBudgets", "WindowBudget", "resend_after"]
+__all__ = [
+    "BudgetView",
+    "Failure",
+    "Resend",
+    "RetryBudgets",
+    "WindowBudget",
+    "resend_after",
+]
