Keep repeats within the allowance across restarts of gateways

Callers: none lost an answer; targets got more repeats than the operators allow (BUDGET). Cause: the history of a retry budget ends with its process. After a restart the fixed part grew from 0 again and the requests of the new window counted in full, while the repeats of the process before were still in the operators' window. The same requests also counted in two of the operators' windows. Change: the bound holds for any sequence of starts and ends.

--- a/pistachiohaven/components/retry/_window.py
+++ b/pistachiohaven/components/retry/_window.py
@@ -1,9 +1,9 @@
-"""Budget that limits further dispatches within a sliding window."""
+"""Budget that limits repeats of requests within a sliding window."""
 
 from collections import deque
 from dataclasses import dataclass
 
-from .const import USED_ALLOWANCE_SHARE
+from .const import REQUEST_SHARE, START_EXTRA_SHARE, STEADY_EXTRA_SHARE
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
@@ -21,13 +21,21 @@
 
 
 class WindowBudget:
-    """Budget of `ratio` further dispatches per request, plus `extra`, in any window.
+    """Budget of `ratio` repeats per request, plus `extra`, in any window.
 
-    `ratio` and `extra` are the operators' allowance per window of `window_ms`, of which
-    `USED_ALLOWANCE_SHARE` is used. `extra` is divided evenly among the known entries,
-    so that the sum over all entries stays within the operators' allowance. In the first
-    window after the start, it grows from 0, since the dispatches before the start are
-    unknown. Times are monotonic milliseconds.
+    `ratio` and `extra` are the operators' allowance per window of `window_ms`, for all
+    entries together. It holds for any sequence of starts and ends of entries, although
+    an entry knows neither what its predecessors nor what its peers have sent:
+
+    - The requests of a window of any entry lie in at most two consecutive windows of
+      the operators, so an entry uses `REQUEST_SHARE`, half of `ratio`.
+    - `extra` is divided evenly among the known entries. An entry uses
+      `STEADY_EXTRA_SHARE` of its part once its window holds nothing of a predecessor.
+      Before, that may all be spent: its predecessors had the same part, and successive
+      incarnations within a window share `START_EXTRA_SHARE`, by the square of their
+      age. The square also covers the time in which not all entries are known yet.
+
+    Times are monotonic milliseconds.
     """
 
     def __init__(
@@ -38,40 +46,44 @@
         self._extra = extra
         self._window_ms = window_ms
         self._request_times_ms: deque[int] = deque()
-        self._dispatch_times_ms: deque[int] = deque()
+        self._repeat_times_ms: deque[int] = deque()
 
     def record_request(self, *, now_ms: int) -> None:
-        """Record the first dispatch of a request."""
+        """Record a request of a caller, once."""
         self._request_times_ms.append(now_ms)
         self._remove_expired(now_ms=now_ms)
 
     def try_acquire(self, *, entries: int, now_ms: int) -> bool:
-        """Use one further dispatch; return False if none is available.
+        """Use one repeat; return False if none is available.
 
         `entries` is the number of entries that share `extra`.
         """
         view = self.view(entries=entries, now_ms=now_ms)
         if view.repeats + 1 > view.allowed:
             return False
-        self._dispatch_times_ms.append(now_ms)
+        self._repeat_times_ms.append(now_ms)
         return True
 
     def view(self, *, entries: int, now_ms: int) -> BudgetView:
         """Return the state of the budget if `entries` entries share `extra`."""
         self._remove_expired(now_ms=now_ms)
+        requests = len(self._request_times_ms)
         age_ms = now_ms - self._started_ms
-        extra_share = self._extra * min(age_ms / self._window_ms, 1.0) / max(entries, 1)
+        if age_ms >= self._window_ms:
+            extra_share = STEADY_EXTRA_SHARE
+        else:
+            extra_share = START_EXTRA_SHARE * (age_ms / self._window_ms) ** 2
         return BudgetView(
-            requests=len(self._request_times_ms),
-            repeats=len(self._dispatch_times_ms),
-            allowed=USED_ALLOWANCE_SHARE
-            * (self._ratio * len(self._request_times_ms) + extra_share),
+            requests=requests,
+            repeats=len(self._repeat_times_ms),
+            allowed=REQUEST_SHARE * self._ratio * requests
+            + extra_share * self._extra / max(entries, 1),
             entries=entries,
             age_ms=age_ms,
         )
 
     def _remove_expired(self, *, now_ms: int) -> None:
         window_start_ms = now_ms - self._window_ms
-        for times_ms in (self._request_times_ms, self._dispatch_times_ms):
+        for times_ms in (self._request_times_ms, self._repeat_times_ms):
             while times_ms and times_ms[0] <= window_start_ms:
                 times_ms.popleft()
