Charge a repeat to the retry budget when it is sent

Callers: none lost an answer; targets that came back got the repeats of several seconds at once (BUDGET). The charges of one window could arrive in the next one, beside those of that window. Change: the decision reserves a repeat, which counts against the budget until it is used or released; it is used at the last moment before the request is sent, and only if the window of then has room. Hedges go the same way. Tests call try_send, the new name of try_acquire; their bounds are unchanged.

--- a/pistachiohaven/components/gateway/_dispatch.py
+++ b/pistachiohaven/components/gateway/_dispatch.py
@@ -104,8 +104,10 @@
 class Dispatch:
     """One attempt to run a request on one target.
 
-    `may_move` is called with the failure that stopping now would be, and returns True
-    if the request can move from a stalled target to another one now. `on_first_event`
+    `admit` is called when the request is about to be sent, and returns why it is not to
+    be sent after all, None if it is. `may_move` is called with the failure that
+    stopping now would be, and returns True if the request can move from a stalled
+    target to another one now. `on_first_event`
     is called before the first event is forwarded. `is_sent` turns True when sending of
     the request begins. `is_proof` turns True, and `on_proof` is called, once the
     response has gone on for long enough to show that it does not crash the target.
@@ -120,10 +122,12 @@
         load: TargetLoad,
         pool: ConnectionPool,
         sink: StreamSink,
+        admit: Callable[[], str | None],
         may_move: Callable[[Failure], bool],
         on_first_event: Callable[[], None],
         on_proof: Callable[[], None],
     ) -> None:
+        self._admit = admit
         self._on_first_event = on_first_event
         self._on_proof = on_proof
         self._call = call
@@ -176,6 +180,11 @@
             self._load.record_cancelled(request_id)
             await self._pool.close(connection)
             return FailedDispatch(failure=Failure.NOT_SENT, detail="target cold")
+        objection = self._admit()
+        if objection is not None:
+            self._load.record_cancelled(request_id, now_ms=self._clock.now_ms())
+            await self._pool.close(connection)
+            return FailedDispatch(failure=Failure.NOT_SENT, detail=objection)
         try:
             result = await self._exchange_until_stalled(connection)
         except EndlessResponseError as error:
--- a/pistachiohaven/components/gateway/_hedged.py
+++ b/pistachiohaven/components/gateway/_hedged.py
@@ -59,6 +59,7 @@
         job: Job,
         send: SendToTarget,
         on_failure: Callable[[FailedDispatch, TargetLoad], None],
+        reserve_repeat: Callable[[], bool],
         possible_runs: Callable[[], int],
         has_caller_left: Callable[[], bool],
         is_hedged: bool,
@@ -68,6 +69,7 @@
         self._job = job
         self._send = send
         self._on_failure = on_failure
+        self._reserve_repeat = reserve_repeat
         self._possible_runs = possible_runs
         self._has_caller_left = has_caller_left
         self.is_hedged = is_hedged
@@ -173,9 +175,7 @@
         used_targets = self._job.excluded_targets | {first.load.target.name}
         placement = state.scheduler.place_spare(
             replace(self._job, excluded_targets=used_targets),
-            admit=lambda: state.retry_budget(call.pool_name).try_acquire(
-                entries=state.exchange.entry_count(), now_ms=now_ms
-            ),
+            admit=self._reserve_repeat,
             now_ms=now_ms,
         )
         if isinstance(placement, NoSpareSlot):
--- a/pistachiohaven/components/gateway/_request.py
+++ b/pistachiohaven/components/gateway/_request.py
@@ -12,7 +12,12 @@
     TargetLoad,
 )
 from pistachiohaven.components.quarantine import Quarantine
-from pistachiohaven.components.retry import Failure, Resend, resend_after
+from pistachiohaven.components.retry import (
+    Failure,
+    RepeatPermit,
+    Resend,
+    resend_after,
+)
 from pistachiohaven.const import MS_PER_S
 from pistachiohaven.core import Reason
 
@@ -74,8 +79,8 @@
         self._possible_runs = 0
         self._sent_count = 0
         self._quota_charged_ms: int | None = None
-        self._is_resend_budget_consumed = False
-        self._resend_decided_ms: int | None = None
+        self._permit: RepeatPermit | None = None
+        self._hedge_permit: RepeatPermit | None = None
         self._is_origin_recorded = False
         self._resumption_pauses = 0
         self._crashed_targets = 0
@@ -113,6 +118,7 @@
                 await self._run_attempts()
         finally:
             self._state.request_scopes.discard(deadline_scope)
+            self._release_permits()
             self._refund_quota()
         if deadline_scope.cancelled_caught:
             is_late = (
@@ -257,6 +263,7 @@
             on_failure=lambda failed, failed_load: self._record_failed(
                 failed, failed_load.target.name, failed_load.target.version
             ),
+            reserve_repeat=self._reserve_hedge,
             possible_runs=lambda: self._possible_runs,
             has_caller_left=self._response.has_caller_left,
             is_hedged=self._hedged is not None and self._hedged.is_hedged,
@@ -280,6 +287,7 @@
             load=load,
             pool=self._pool,
             sink=self._response,
+            admit=partial(self._admit, load, is_hedge=is_hedge),
             may_move=partial(self._may_move, load.target.name),
             on_first_event=partial(self._record_origin, load.target.version),
             on_proof=partial(state.crash_link.record_proof, self._call.part_hashes),
@@ -291,7 +299,6 @@
             self._is_dispatch_recorded = True
             state.hedge_policy.record_request(pool_name, now_ms=now_ms)
         self._possible_runs += 1
-        self._log_repeat(load)
         state.crash_link.record_dispatch(self._call.part_hashes, load)
         try:
             result = await dispatch.run()
@@ -342,8 +349,8 @@
     async def _prepare_resend(self, failed: FailedDispatch, target: str) -> bool:
         """Log a failed dispatch; return True if the request may go to another target.
 
-        Consumes retry budget unless `_may_move` has already done so. A rejection does
-        not end a started response: it waits for the budget and for any target.
+        Reserves a repeat unless `_may_move` has already done so. A rejection does not
+        end a started response: it waits for the budget and for any target.
         """
         self._record_failed(failed, target, self.version)
         if not self._may_resend(failed.failure):
@@ -353,15 +360,12 @@
         )
         if is_rejected_resumption:
             await self._pause_resumption()
-        while not self._is_resend_budget_consumed and not self._consume_budget(
-            failed.failure
-        ):
+        while not self._reserve_repeat():
             if not is_rejected_resumption:
                 self.reason = Reason.RETRY_BUDGET
                 self._log_no_budget()
                 return False
             await self._pause_resumption()
-        self._is_resend_budget_consumed = False
         if not is_rejected_resumption:
             self._job.excluded_targets.add(target)
         self._job.has_response_started = self._response.is_started
@@ -401,7 +405,7 @@
     def _may_move(self, target: str, failure: Failure) -> bool:
         """Return True if the request can move from its stalled target to another now.
 
-        Consumes retry budget if so.
+        Reserves a repeat if so.
         """
         if self._hedged is not None and self._hedged.is_racing:
             return False
@@ -411,8 +415,7 @@
             return False
         if not self._may_resend(failure):
             return False
-        self._is_resend_budget_consumed = self._consume_budget(failure)
-        return self._is_resend_budget_consumed
+        return self._reserve_repeat(is_sent=True)
 
     def _may_resend(self, failure: Failure) -> bool:
         """Return True if the route allows one more target after `failure`.
@@ -435,19 +438,62 @@
             or self._sent_count < max_targets + MAX_EXTRA_REJECTIONS
         )
 
-    def _consume_budget(self, failure: Failure) -> bool:
-        """Consume one resend of the pool's retry budget; return False if exhausted.
+    # Retry budget
 
-        After a dispatch that sent nothing, no budget is needed.
+    def _reserve_repeat(self, *, is_sent: bool = False) -> bool:
+        """Reserve a repeat of the pool's retry budget; return False if exhausted.
+
+        Nothing is reserved if no target has been sent the request. `is_sent` is True if
+        the dispatch in progress was sent.
         """
-        if failure is Failure.NOT_SENT:
-            return True
+        if self._permit is None and (is_sent or self._sent_count):
+            self._permit = self._reserve()
+            return self._permit is not None
+        return True
+
+    def _reserve_hedge(self) -> bool:
+        """Reserve a repeat for a hedge; return False if the budget is exhausted."""
+        self._hedge_permit = self._reserve()
+        return self._hedge_permit is not None
+
+    def _reserve(self) -> RepeatPermit | None:
         state = self._state
-        self._resend_decided_ms = state.clock.now_ms()
-        return state.retry_budget(self._call.pool_name).try_acquire(
+        return state.retry_budget(self._call.pool_name).try_reserve(
             entries=state.exchange.entry_count(), now_ms=state.clock.now_ms()
         )
 
+    def _admit(self, load: TargetLoad, *, is_hedge: bool) -> str | None:
+        """Use the reserved repeat of a dispatch that is about to be sent.
+
+        Return why the dispatch must not be sent, None if it may be.
+        """
+        permit = self._hedge_permit if is_hedge else self._permit
+        if permit is None:
+            return None
+        if is_hedge:
+            self._hedge_permit = None
+        else:
+            self._permit = None
+        state = self._state
+        now_ms = state.clock.now_ms()
+        if not permit.use(entries=state.exchange.entry_count(), now_ms=now_ms):
+            return "retry budget"
+        state.log.info(
+            "repeat_sent",
+            request_id=self._call.head.attempt_id,
+            target=load.target.name,
+            sent=self._sent_count,
+            waited_ms=now_ms - permit.reserved_ms,
+            **self._budget_fields(),
+        )
+        return None
+
+    def _release_permits(self) -> None:
+        """Release the repeats that were reserved and not sent."""
+        for permit in (self._permit, self._hedge_permit):
+            if permit is not None:
+                permit.release()
+
     # Responses
 
     async def _respond_to_failure(self, failed: FailedDispatch) -> None:
@@ -564,19 +610,6 @@
             **self._quota_fields(),
         )
 
-    def _log_repeat(self, load: TargetLoad) -> None:
-        """Log a dispatch that is charged to the retry budget."""
-        if self._resend_decided_ms is None:
-            return
-        self._state.log.info(
-            "repeat_sent",
-            request_id=self._call.head.attempt_id,
-            target=load.target.name,
-            sent=self._sent_count,
-            waited_ms=self._state.clock.now_ms() - self._resend_decided_ms,
-            **self._budget_fields(),
-        )
-
     def _log_no_budget(self) -> None:
         """Log that a request is not repeated since the retry budget is used up."""
         self._state.log.info(
@@ -596,6 +629,7 @@
             "pool": self._call.pool_name,
             "window_requests": view.requests,
             "window_repeats": view.repeats,
+            "reserved_repeats": view.reserved,
             "allowed_repeats": round(view.allowed, 1),
             "entries": view.entries,
             "age_ms": view.age_ms,
--- a/pistachiohaven/components/retry/__init__.py
+++ b/pistachiohaven/components/retry/__init__.py
@@ -2,11 +2,12 @@
 
 from ._core import RetryBudgets
 from ._resend import Failure, Resend, resend_after
-from ._window import BudgetView, WindowBudget
+from ._window import BudgetView, RepeatPermit, WindowBudget
 
 __all__ = [
     "BudgetView",
     "Failure",
+    "RepeatPermit",
     "Resend",
     "RetryBudgets",
     "WindowBudget",
--- a/pistachiohaven/components/retry/_window.py
+++ b/pistachiohaven/components/retry/_window.py
@@ -8,18 +8,45 @@
 
 @dataclass(frozen=True, slots=True, kw_only=True)
 class BudgetView:
-    """State of a budget: what its window holds, and how many `repeats` it allows.
+    """State of a budget: what its window holds, and how many repeats it allows.
 
-    `age_ms` is the time in milliseconds since the start of the entry.
+    `reserved` is the number of repeats that wait to be sent. `age_ms` is the time in
+    milliseconds since the start of the entry.
     """
 
     requests: int
     repeats: int
+    reserved: int
     allowed: float
     entries: int
     age_ms: int
 
 
+class RepeatPermit:
+    """Permission to send one repeat, reserved from `budget` since `reserved_ms`."""
+
+    def __init__(self, *, budget: "WindowBudget", reserved_ms: int) -> None:
+        self._budget = budget
+        self._is_open = True
+        self.reserved_ms = reserved_ms
+
+    def use(self, *, entries: int, now_ms: int) -> bool:
+        """Use the permission, just before the repeat is sent; it ends with that.
+
+        Return False if the window has no room now, or if it has ended before.
+        """
+        if not self._is_open:
+            return False
+        self.release()
+        return self._budget.try_send(entries=entries, now_ms=now_ms)
+
+    def release(self) -> None:
+        """End a permission that is not used; without effect if it has ended."""
+        if self._is_open:
+            self._is_open = False
+            self._budget.end_reservation()
+
+
 class WindowBudget:
     """Budget of `ratio` repeats per request, plus `extra`, in any window.
 
@@ -35,7 +62,9 @@
       incarnations within a window share `START_EXTRA_SHARE`, by the square of their
       age. The square also covers the time in which not all entries are known yet.
 
-    Times are monotonic milliseconds.
+    A repeat counts from when it is sent. Until then it is reserved: repeats that wait
+    for a free slot would otherwise be sent together in a later window. Times are
+    monotonic milliseconds.
     """
 
     def __init__(
@@ -47,23 +76,36 @@
         self._window_ms = window_ms
         self._request_times_ms: deque[int] = deque()
         self._repeat_times_ms: deque[int] = deque()
+        self._reserved = 0
 
     def record_request(self, *, now_ms: int) -> None:
         """Record a request of a caller, once."""
         self._request_times_ms.append(now_ms)
         self._remove_expired(now_ms=now_ms)
 
-    def try_acquire(self, *, entries: int, now_ms: int) -> bool:
-        """Use one repeat; return False if none is available.
+    def try_reserve(self, *, entries: int, now_ms: int) -> RepeatPermit | None:
+        """Reserve one repeat; return None if none is available.
 
         `entries` is the number of entries that share `extra`.
         """
         view = self.view(entries=entries, now_ms=now_ms)
+        if view.repeats + view.reserved + 1 > view.allowed:
+            return None
+        self._reserved += 1
+        return RepeatPermit(budget=self, reserved_ms=now_ms)
+
+    def try_send(self, *, entries: int, now_ms: int) -> bool:
+        """Record a repeat that is sent now; return False if none is available."""
+        view = self.view(entries=entries, now_ms=now_ms)
         if view.repeats + 1 > view.allowed:
             return False
         self._repeat_times_ms.append(now_ms)
         return True
 
+    def end_reservation(self) -> None:
+        """End one reservation."""
+        self._reserved -= 1
+
     def view(self, *, entries: int, now_ms: int) -> BudgetView:
         """Return the state of the budget if `entries` entries share `extra`."""
         self._remove_expired(now_ms=now_ms)
@@ -76,6 +118,7 @@
         return BudgetView(
             requests=requests,
             repeats=len(self._repeat_times_ms),
+            reserved=self._reserved,
             allowed=REQUEST_SHARE * self._ratio * requests
             + extra_share * self._extra / max(entries, 1),
             entries=entries,
--- a/tests/components/gateway/test_state.py
+++ b/tests/components/gateway/test_state.py
@@ -44,9 +44,9 @@
     state = make_state(now_s)
     now_s[0] = 10.0
     now_ms = state.clock.now_ms()
-    assert state.retry_budget("p").try_acquire(entries=1, now_ms=now_ms)
+    assert state.retry_budget("p").try_send(entries=1, now_ms=now_ms)
     state.reload(SETTINGS)
-    assert not state.retry_budget("p").try_acquire(entries=1, now_ms=now_ms)
+    assert not state.retry_budget("p").try_send(entries=1, now_ms=now_ms)
 
 
 def test_reload_applies_changed_retry_settings() -> None:
@@ -54,9 +54,9 @@
     state = make_state(now_s)
     now_s[0] = 10.0
     now_ms = state.clock.now_ms()
-    assert state.retry_budget("p").try_acquire(entries=1, now_ms=now_ms)
+    assert state.retry_budget("p").try_send(entries=1, now_ms=now_ms)
     state.reload(SETTINGS.model_copy(update={"retry_extra": 100.0}))
-    assert state.retry_budget("p").try_acquire(entries=1, now_ms=now_ms)
+    assert state.retry_budget("p").try_send(entries=1, now_ms=now_ms)
 
 
 def test_older_configuration_from_a_peer_is_ignored() -> None:
--- a/tests/components/retry/test_budget_over_restarts.py
+++ b/tests/components/retry/test_budget_over_restarts.py
@@ -93,7 +93,7 @@
                     gateway.budget.record_request(now_ms=self.now_ms)
                 wanted = demand * gateway.requests_per_s * STEP_MS / 1_000
                 for _ in range(int(wanted + self.rng.random())):
-                    if gateway.budget.try_acquire(
+                    if gateway.budget.try_send(
                         entries=self.entries_known_to(gateway), now_ms=self.now_ms
                     ):
                         self.repeats_ms.append(self.now_ms)
--- a/tests/components/retry/test_resend.py
+++ b/tests/components/retry/test_resend.py
@@ -73,16 +73,16 @@
         for budget in budgets:
             if now_ms < 1_100:
                 budget.record_request(now_ms=now_ms)
-            further_dispatches += budget.try_acquire(entries=entries, now_ms=now_ms)
+            further_dispatches += budget.try_send(entries=entries, now_ms=now_ms)
     own_share = REQUEST_SHARE * ratio * 100 * entries + STEADY_EXTRA_SHARE * extra
     assert own_share - entries <= further_dispatches <= own_share
 
 
 def test_allowance_is_restored_after_its_window() -> None:
     budget = WindowBudget(ratio=0.0, extra=1.6, window_ms=1_000)
-    assert budget.try_acquire(entries=1, now_ms=5_000)
-    assert not budget.try_acquire(entries=1, now_ms=5_999)
-    assert budget.try_acquire(entries=1, now_ms=6_000)
+    assert budget.try_send(entries=1, now_ms=5_000)
+    assert not budget.try_send(entries=1, now_ms=5_999)
+    assert budget.try_send(entries=1, now_ms=6_000)
 
 
 def test_restart_does_not_allow_a_second_use_of_the_allowance() -> None:
@@ -98,5 +98,5 @@
             )
         for now_ms in range(max(start_ms, 1_000), start_ms + 500 + 1_000):
             if 1_000 <= now_ms < 2_000:
-                further_dispatches += budget.try_acquire(entries=1, now_ms=now_ms)
+                further_dispatches += budget.try_send(entries=1, now_ms=now_ms)
     assert further_dispatches <= extra
