Let the random histories of target faults see complete responses again

Cause: bodies are only read on metered streams, and the in-memory targets of the test had plain ones, so that each response ended as a change of protocol: of 200 histories none had a complete 200. The invariants of complete responses were not checked. Change: the streams are metered, and each kind of route must have complete responses.

--- a/tests/components/gateway/test_histories.py
+++ b/tests/components/gateway/test_histories.py
@@ -30,6 +30,7 @@
 from pistachiohaven.components.gateway._response import ResponseWriter
 from pistachiohaven.components.gateway._state import GatewayState
 from pistachiohaven.components.retry import Failure
+from pistachiohaven.components.web._metered import MeteredStream
 from pistachiohaven.config import GatewaySettings
 from pistachiohaven.helpers import Clock
 
@@ -211,6 +212,7 @@
     def __init__(self, *, clock: Clock) -> None:
         super().__init__(clock=clock)
         self.scenario: Scenario | None = None
+        self._streams: dict[httpcore.AsyncHTTP11Connection, TargetStream] = {}
 
     async def acquire(self, address: str) -> Result[Connection, str]:
         """Return an idle or new connection, or a connection error."""
@@ -220,9 +222,7 @@
             return Err("ConnectError")
         acquired = await super().acquire(address)
         if isinstance(acquired, Ok):
-            stream = acquired.ok_value.http._network_stream
-            assert isinstance(stream, TargetStream)
-            stream.scenario = self.scenario
+            self._streams[acquired.ok_value.http].scenario = self.scenario
         return acquired
 
     async def _open(self, address: str) -> Result[Connection, str]:
@@ -230,7 +230,10 @@
         host, _, port = address.rpartition(":")
         origin = httpcore.Origin(b"http", host.encode(), int(port))
         stream = TargetStream(self.scenario, address)
-        http = httpcore.AsyncHTTP11Connection(origin=origin, stream=stream)
+        http = httpcore.AsyncHTTP11Connection(
+            origin=origin, stream=MeteredStream(stream)
+        )
+        self._streams[http] = stream
         return Ok(Connection(http=http, address=address, is_new=True))
 
 
@@ -382,6 +385,7 @@
     outcomes = run_in_batches(first, 200)
     assert sum(outcomes.values()) >= 200
     assert len(outcomes) >= len(PATHS) * 2
+    assert all(outcomes[f"{path} 200 True"] for path in PATHS)
 
 
 class BlockingPool(FakePool):
