Count each request once in the retry budget

Callers: none lost an answer; targets got more repeats than the operators allow (BUDGET). Cause: each dispatch before anything was sent counted as another request. Targets that had just ended refuse connections while they are listed, so one request added up to once per target to the ratio part. Change: a request counts when it is admitted, once; it is then nearest to when its caller sent it, which is what the operators count. Evidence: the case in test_late_repeats failed before (6 requests counted for one). Measured: tests of late repeats, hedges and state pass.

--- a/pistachiohaven/components/gateway/_request.py
+++ b/pistachiohaven/components/gateway/_request.py
@@ -108,6 +108,7 @@
             await self._send_refusal(TOO_MANY_REQUESTS, Reason.OVER_QUOTA, wait_ms)
             return
         now_ms = self._state.clock.now_ms()
+        self._state.retry_budget(call.pool_name).record_request(now_ms=now_ms)
         deadline_ms = call.deadline_ms - DEADLINE_MARGIN_MS
         if self._state.drain_end_ms is not None:
             deadline_ms = min(deadline_ms, self._state.drain_end_ms)
@@ -292,12 +293,9 @@
             on_first_event=partial(self._record_origin, load.target.version),
             on_proof=partial(state.crash_link.record_proof, self._call.part_hashes),
         )
-        pool_name = self._call.pool_name
-        if not self._sent_count and not is_hedge:
-            state.retry_budget(pool_name).record_request(now_ms=now_ms)
         if not self._is_dispatch_recorded:
             self._is_dispatch_recorded = True
-            state.hedge_policy.record_request(pool_name, now_ms=now_ms)
+            state.hedge_policy.record_request(self._call.pool_name, now_ms=now_ms)
         self._possible_runs += 1
         state.crash_link.record_dispatch(self._call.part_hashes, load)
         try:
--- a/tests/components/gateway/scripted_targets.py
+++ b/tests/components/gateway/scripted_targets.py
@@ -20,6 +20,7 @@
 )
 from pistachiohaven.components.gateway._response import ResponseWriter
 from pistachiohaven.components.gateway._state import GatewayState
+from pistachiohaven.components.web._metered import MeteredStream
 from pistachiohaven.config import GatewaySettings
 from pistachiohaven.helpers import Clock
 
@@ -131,7 +132,9 @@
         origin = httpcore.Origin(b"http", host.encode(), int(port))
         stream = ScriptedStream(self, address)
         self.streams.append(stream)
-        http = httpcore.AsyncHTTP11Connection(origin=origin, stream=stream)
+        http = httpcore.AsyncHTTP11Connection(
+            origin=origin, stream=MeteredStream(stream)
+        )
         return Ok(Connection(http=http, address=address, is_new=True))
 
 
--- a/tests/components/gateway/test_late_repeats.py
+++ b/tests/components/gateway/test_late_repeats.py
@@ -61,3 +61,19 @@
 def test_repeats_count_from_when_they_are_sent() -> None:
     """The window of the decision is over when a slot is free."""
     run_scripted(repeat_while_a_target_is_full)
+
+
+async def request_beside_refused_connections() -> None:
+    gateway = ScriptedGateway(answer(200), targets=6, refusals=5)
+    async with trio.open_nursery() as nursery:
+        nursery.start_soon(gateway.state.placer.run)
+        assert (await gateway.call("/again/x")).status == 200
+        nursery.cancel_scope.cancel()
+    assert gateway.pool.refusals == 0
+    assert len(gateway.pool.arrived_ms) == 1
+    assert view(gateway).requests == 1
+
+
+def test_a_request_counts_once_beside_refused_connections() -> None:
+    """Targets that have just ended refuse connections while they are still listed."""
+    run_scripted(request_beside_refused_connections)
