Keep what a retry budget has counted when its settings change

Cause: a reload that changed the ratio, the fixed part or the window dropped all budgets. The new ones counted from the start of the process, so that their full allowance was free at once, beside what the window already held. Change: budgets are configured and keep their history; in a longer window, what was sent before the shorter one counts as unknown, as after a start. Evidence: three cases in test_state failed before.

--- a/pistachiohaven/components/gateway/_state.py
+++ b/pistachiohaven/components/gateway/_state.py
@@ -40,7 +40,7 @@
 from pistachiohaven.components.quarantine import PartQuarantine
 from pistachiohaven.components.quota import QuotaLedger, QuotaTolerance
 from pistachiohaven.components.rate_limit import LimitChange, LimitReport, RateLimits
-from pistachiohaven.components.retry import WindowBudget
+from pistachiohaven.components.retry import RetryTerms, WindowBudget
 from pistachiohaven.config import GatewaySettings
 from pistachiohaven.const import MS_PER_S
 from pistachiohaven.core import Reason
@@ -157,8 +157,7 @@
     def reload(self, settings: GatewaySettings) -> None:
         """Apply new settings, except addresses, which need a restart.
 
-        Retries already counted against the budgets stay counted unless a setting of the
-        retry budget changed.
+        Repeats already counted against the retry budgets stay counted.
         """
         current = self.settings
         self.settings = settings.model_copy(
@@ -170,12 +169,8 @@
         )
         self.scheduler.set_regions(settings.regions)
         self.cold_targets.set_tolerance(_cold_tolerance(self.settings))
-        retry_fields = ("retry_ratio", "retry_extra", "retry_window_s")
-        if any(
-            getattr(current, field) != getattr(settings, field)
-            for field in retry_fields
-        ):
-            self._retry_budgets.clear()
+        for budget in self._retry_budgets.values():
+            budget.configure(_retry_terms(self.settings), now_ms=self.clock.now_ms())
         self.hedge_policy.configure(_hedge_terms(settings))
 
     # Readiness
@@ -283,10 +278,7 @@
         """Return the retry budget of `pool`."""
         if pool not in self._retry_budgets:
             self._retry_budgets[pool] = WindowBudget(
-                ratio=self.settings.retry_ratio,
-                extra=self.settings.retry_extra,
-                window_ms=int(self.settings.retry_window_s * MS_PER_S),
-                now_ms=self.started_ms,
+                terms=_retry_terms(self.settings), now_ms=self.started_ms
             )
         return self._retry_budgets[pool]
 
@@ -760,6 +752,14 @@
     )
 
 
+def _retry_terms(settings: GatewaySettings) -> RetryTerms:
+    return RetryTerms(
+        ratio=settings.retry_ratio,
+        extra=settings.retry_extra,
+        window_ms=int(settings.retry_window_s * MS_PER_S),
+    )
+
+
 def _hedge_terms(settings: GatewaySettings) -> HedgeTerms:
     return HedgeTerms(
         ratio=settings.hedge_ratio,
--- a/pistachiohaven/components/retry/__init__.py
+++ b/pistachiohaven/components/retry/__init__.py
@@ -2,7 +2,7 @@
 
 from ._core import RetryBudgets
 from ._resend import Failure, Resend, resend_after
-from ._window import BudgetView, RepeatPermit, WindowBudget
+from ._window import BudgetView, RepeatPermit, RetryTerms, WindowBudget
 
 __all__ = [
     "BudgetView",
@@ -10,6 +10,7 @@
     "RepeatPermit",
     "Resend",
     "RetryBudgets",
+    "RetryTerms",
     "WindowBudget",
     "resend_after",
 ]
--- a/pistachiohaven/components/retry/_window.py
+++ b/pistachiohaven/components/retry/_window.py
@@ -6,6 +6,18 @@
 from .const import REQUEST_SHARE, START_EXTRA_SHARE, STEADY_EXTRA_SHARE
 
 
+@dataclass(frozen=True, slots=True, kw_only=True)
+class RetryTerms:
+    """The operators' allowance of repeats within any `window_ms`, for all entries.
+
+    It is `ratio` per request, plus `extra`.
+    """
+
+    ratio: float
+    extra: float
+    window_ms: int
+
+
 @dataclass(frozen=True, slots=True, kw_only=True)
 class BudgetView:
     """State of a budget: what its window holds, and how many repeats it allows.
@@ -48,15 +60,14 @@
 
 
 class WindowBudget:
-    """Budget of `ratio` repeats per request, plus `extra`, in any window.
+    """Budget of repeats within the operators' allowance, which is for all entries.
 
-    `ratio` and `extra` are the operators' allowance per window of `window_ms`, for all
-    entries together. It holds for any sequence of starts and ends of entries, although
-    an entry knows neither what its predecessors nor what its peers have sent:
+    The allowance holds for any sequence of starts and ends of entries, although an
+    entry knows neither what its predecessors nor what its peers have sent:
 
     - The requests of a window of any entry lie in at most two consecutive windows of
-      the operators, so an entry uses `REQUEST_SHARE`, half of `ratio`.
-    - `extra` is divided evenly among the known entries. An entry uses
+      the operators, so an entry uses `REQUEST_SHARE`, half, of the ratio.
+    - The fixed part is divided evenly among the known entries. An entry uses
       `STEADY_EXTRA_SHARE` of its part once its window holds nothing of a predecessor.
       Before, that may all be spent: its predecessors had the same part, and successive
       incarnations within a window share `START_EXTRA_SHARE`, by the square of their
@@ -67,17 +78,25 @@
     monotonic milliseconds.
     """
 
-    def __init__(
-        self, *, ratio: float, extra: float, window_ms: int, now_ms: int = 0
-    ) -> None:
+    def __init__(self, *, terms: RetryTerms, now_ms: int = 0) -> None:
+        self._known_from_ms = now_ms
         self._started_ms = now_ms
-        self._ratio = ratio
-        self._extra = extra
-        self._window_ms = window_ms
+        self._terms = terms
         self._request_times_ms: deque[int] = deque()
         self._repeat_times_ms: deque[int] = deque()
         self._reserved = 0
 
+    def configure(self, terms: RetryTerms, *, now_ms: int) -> None:
+        """Apply new terms; what the window holds is kept.
+
+        What was sent before a shorter window is not known in a longer one.
+        """
+        if terms.window_ms > self._terms.window_ms:
+            self._known_from_ms = max(
+                self._known_from_ms, now_ms - self._terms.window_ms
+            )
+        self._terms = terms
+
     def record_request(self, *, now_ms: int) -> None:
         """Record a request of a caller, once."""
         self._request_times_ms.append(now_ms)
@@ -86,7 +105,7 @@
     def try_reserve(self, *, entries: int, now_ms: int) -> RepeatPermit | None:
         """Reserve one repeat; return None if none is available.
 
-        `entries` is the number of entries that share `extra`.
+        `entries` is the number of entries that share the fixed part.
         """
         view = self.view(entries=entries, now_ms=now_ms)
         if view.repeats + view.reserved + 1 > view.allowed:
@@ -107,26 +126,26 @@
         self._reserved -= 1
 
     def view(self, *, entries: int, now_ms: int) -> BudgetView:
-        """Return the state of the budget if `entries` entries share `extra`."""
+        """Return the state of the budget if it is shared by `entries` entries."""
         self._remove_expired(now_ms=now_ms)
         requests = len(self._request_times_ms)
-        age_ms = now_ms - self._started_ms
-        if age_ms >= self._window_ms:
+        known_ms = now_ms - self._known_from_ms
+        if known_ms >= self._terms.window_ms:
             extra_share = STEADY_EXTRA_SHARE
         else:
-            extra_share = START_EXTRA_SHARE * (age_ms / self._window_ms) ** 2
+            extra_share = START_EXTRA_SHARE * (known_ms / self._terms.window_ms) ** 2
         return BudgetView(
             requests=requests,
             repeats=len(self._repeat_times_ms),
             reserved=self._reserved,
-            allowed=REQUEST_SHARE * self._ratio * requests
-            + extra_share * self._extra / max(entries, 1),
+            allowed=REQUEST_SHARE * self._terms.ratio * requests
+            + extra_share * self._terms.extra / max(entries, 1),
             entries=entries,
-            age_ms=age_ms,
+            age_ms=now_ms - self._started_ms,
         )
 
     def _remove_expired(self, *, now_ms: int) -> None:
-        window_start_ms = now_ms - self._window_ms
+        window_start_ms = now_ms - self._terms.window_ms
         for times_ms in (self._request_times_ms, self._repeat_times_ms):
             while times_ms and times_ms[0] <= window_start_ms:
                 times_ms.popleft()
--- a/tests/components/gateway/test_histories.py
+++ b/tests/components/gateway/test_histories.py
@@ -362,6 +362,10 @@
             except IncompleteResponseError:
                 assert not recorded.is_complete
             check_invariants(scenario, recorded, call)
+            arrivals = len(scenario.targets)
+            repeats = state.retry_budget("p").view(entries=1, now_ms=clock.now_ms())
+            assert max(arrivals - 1, 0) <= repeats.repeats, scenario
+            await trio.sleep(state.settings.retry_window_s)
             outcomes[f"{scenario.path} {recorded.status} {recorded.is_complete}"] += 1
             await trio.sleep(rng.choice((0.0, 0.1, 5.0)))
         nursery.cancel_scope.cancel()
--- a/tests/components/gateway/test_state.py
+++ b/tests/components/gateway/test_state.py
@@ -3,6 +3,7 @@
 import json
 
 import msgspec
+import pytest
 
 from pistachiohaven.components.fleet import StoreRecord
 from pistachiohaven.components.gateway._state import GatewayState
@@ -59,6 +60,33 @@
     assert state.retry_budget("p").try_send(entries=1, now_ms=now_ms)
 
 
+@pytest.mark.parametrize("change", [{"retry_ratio": 0.1}, {"retry_window_s": 2.0}])
+def test_changed_retry_settings_do_not_allow_the_used_budget_again(
+    change: dict[str, float],
+) -> None:
+    """Repeats that were sent before a reload are still in the window."""
+    now_s = [0.0]
+    state = make_state(now_s)
+    now_s[0] = 10.0
+    now_ms = state.clock.now_ms()
+    assert state.retry_budget("p").try_send(entries=1, now_ms=now_ms)
+    state.reload(SETTINGS.model_copy(update=change))
+    assert not state.retry_budget("p").try_send(entries=1, now_ms=now_ms)
+
+
+def test_longer_retry_window_begins_with_what_is_known() -> None:
+    """What an entry sent before the shorter window has been forgotten."""
+    now_s = [0.0]
+    state = make_state(now_s)
+    now_s[0] = 10.0
+    assert state.retry_budget("p").try_send(entries=1, now_ms=10_000)
+    now_s[0] = 11.5
+    assert not state.retry_budget("p").view(entries=1, now_ms=11_500).repeats
+    state.reload(SETTINGS.model_copy(update={"retry_window_s": 4.0}))
+    assert not state.retry_budget("p").try_send(entries=1, now_ms=11_500)
+    assert state.retry_budget("p").try_send(entries=1, now_ms=14_500)
+
+
 def test_older_configuration_from_a_peer_is_ignored() -> None:
     """A newer store revision may carry an older configuration version."""
     state = make_state([0.0])
--- a/tests/components/retry/test_budget_over_restarts.py
+++ b/tests/components/retry/test_budget_over_restarts.py
@@ -11,7 +11,7 @@
 
 import pytest
 
-from pistachiohaven.components.retry import WindowBudget
+from pistachiohaven.components.retry import RetryTerms, WindowBudget
 
 RATIO = 0.2
 WINDOW_MS = 10_000
@@ -49,7 +49,8 @@
         """Start a new incarnation, which knows nothing of the one before."""
         gateway.started_ms = self.now_ms
         gateway.budget = WindowBudget(
-            ratio=RATIO, extra=self.extra, window_ms=WINDOW_MS, now_ms=self.now_ms
+            terms=RetryTerms(ratio=RATIO, extra=self.extra, window_ms=WINDOW_MS),
+            now_ms=self.now_ms,
         )
 
     def kill(self, gateway: Gateway, *, down_ms: int) -> None:
--- a/tests/components/retry/test_resend.py
+++ b/tests/components/retry/test_resend.py
@@ -6,6 +6,7 @@
 from pistachiohaven.components.retry import (
     Failure,
     Resend,
+    RetryTerms,
     WindowBudget,
     resend_after,
 )
@@ -66,7 +67,8 @@
 def test_sum_over_all_entries_stays_within_the_allowance() -> None:
     entries, ratio, extra = 5, 0.2, 50.0
     budgets = [
-        WindowBudget(ratio=ratio, extra=extra, window_ms=1_000) for _ in range(entries)
+        WindowBudget(terms=RetryTerms(ratio=ratio, extra=extra, window_ms=1_000))
+        for _ in range(entries)
     ]
     further_dispatches = 0
     for now_ms in range(1_000, 1_999):
@@ -79,7 +81,7 @@
 
 
 def test_allowance_is_restored_after_its_window() -> None:
-    budget = WindowBudget(ratio=0.0, extra=1.6, window_ms=1_000)
+    budget = WindowBudget(terms=RetryTerms(ratio=0.0, extra=1.6, window_ms=1_000))
     assert budget.try_send(entries=1, now_ms=5_000)
     assert not budget.try_send(entries=1, now_ms=5_999)
     assert budget.try_send(entries=1, now_ms=6_000)
@@ -87,14 +89,17 @@
 
 def test_restart_does_not_allow_a_second_use_of_the_allowance() -> None:
     extra, window_ms = 50.0, 1_000
+    terms = RetryTerms(ratio=0.0, extra=extra, window_ms=window_ms)
     further_dispatches = 0
     for start_ms in (0, 1_500):
         budget = WindowBudget(
-            ratio=0.0, extra=extra, window_ms=window_ms, now_ms=start_ms - window_ms
+            terms=terms,
+            now_ms=start_ms - window_ms,
         )
         if start_ms:
             budget = WindowBudget(
-                ratio=0.0, extra=extra, window_ms=window_ms, now_ms=start_ms
+                terms=terms,
+                now_ms=start_ms,
             )
         for now_ms in range(max(start_ms, 1_000), start_ms + 500 + 1_000):
             if 1_000 <= now_ms < 2_000:
