Name a request over its attempts in the log of a crashed target

Cause: each attempt of a request has its own id, so that no line showed whether the requests on several crashed targets were the same. Change: a key from method, host, path, query, organisation and body (xxh3, which the project uses already), computed only when a connection breaks; the line target_crashed names it.

--- a/pistachiohaven/components/gateway/_crashes.py
+++ b/pistachiohaven/components/gateway/_crashes.py
@@ -212,7 +212,7 @@
         """Record a response that proves parts to be sound; tell peers of suspects."""
         change = self._quarantine.record_proof(parts, now_ms=self._clock.now_ms())
         for part in change.released:
-            self._log.info("part_released", part=format_part(part))
+            self._log.info("part_released", part=format_key(part))
         self._send_reports(change.suspects)
 
     def _send_reports(self, parts: list[int], *, max_peers: int | None = None) -> None:
@@ -306,7 +306,7 @@
         for quarantine in begun:
             self._log.info(
                 "part_quarantined",
-                part=format_part(quarantine.part),
+                part=format_key(quarantine.part),
                 crashes=quarantine.crashes,
                 age_ms=now_ms - quarantine.last_crash_ms,
                 for_ms=quarantine.until_ms - now_ms,
@@ -314,9 +314,9 @@
             )
 
 
-def format_part(part: int) -> str:
-    """Return the hash of a part as it is written to the logs."""
-    return f"{part:08x}"
+def format_key(key: int) -> str:
+    """Return the key of a part or a request as it is written to the logs."""
+    return f"{key:08x}"
 
 
 def encode_report(report: PartReport) -> PartCrashReport:
--- a/pistachiohaven/components/gateway/_request.py
+++ b/pistachiohaven/components/gateway/_request.py
@@ -1,6 +1,6 @@
 """Handling of one caller's request, from the quota check to the response."""
 
-from functools import partial
+from functools import cached_property, partial
 
 import trio
 
@@ -11,7 +11,7 @@
     Refusal,
     TargetLoad,
 )
-from pistachiohaven.components.quarantine import Quarantine
+from pistachiohaven.components.quarantine import Quarantine, request_key
 from pistachiohaven.components.retry import (
     Failure,
     RepeatPermit,
@@ -23,7 +23,7 @@
 
 from ._call import Call
 from ._connections import ConnectionPool
-from ._crashes import format_part
+from ._crashes import format_key
 from ._dispatch import (
     NOT_RUN_FAILURES,
     NOT_RUN_STATUSES,
@@ -129,6 +129,18 @@
                 Reason.DEADLINE if is_late else Reason.DRAINING
             )
 
+    @cached_property
+    def _request_key(self) -> int:
+        """Return the key of the request, the same for each of its attempts."""
+        call = self._call
+        return request_key(
+            method=call.method,
+            host=call.head.host,
+            target=call.request_target,
+            organisation=self._job.organisation,
+            body=self._body,
+        )
+
     # Dispatches
 
     async def _run_attempts(self) -> None:
@@ -186,7 +198,7 @@
             request_id=self._call.head.attempt_id,
             reason=Reason.PART_QUARANTINED,
             route=self._call.route.name,
-            part=format_part(quarantine.part),
+            part=format_key(quarantine.part),
             crashes=quarantine.crashes,
             age_ms=now_ms - quarantine.last_crash_ms,
             source=quarantine.source,
@@ -306,7 +318,9 @@
         state.placer.schedule_waiting()
         if dispatch.is_sent:
             self._sent_count += 1
-        if self._call.part_hashes:
+        if self._call.part_hashes or (
+            isinstance(result, FailedDispatch) and result.is_cut
+        ):
             await self._record_parts(dispatch, result, load)
         outcome = result.failure if isinstance(result, FailedDispatch) else "answered"
         state.metrics.dispatches.labels(self._call.pool_name, outcome).inc()
@@ -336,6 +350,16 @@
         if await state.crash_checks.has_crashed(
             load.target.incarnation, load.target.address, self._pool
         ):
+            state.log.info(
+                "target_crashed",
+                request_id=self._call.head.attempt_id,
+                request=format_key(self._request_key),
+                route=self._call.route.name,
+                organisation=self._job.organisation,
+                target=load.target.name,
+                sent=self._sent_count,
+                is_repeat=self._crashed_targets > 0,
+            )
             state.crash_link.record_crash(
                 parts,
                 load=load,
--- a/pistachiohaven/components/gateway/_where.py
+++ b/pistachiohaven/components/gateway/_where.py
@@ -14,7 +14,7 @@
 
 from ._admit import admit_call
 from ._call import BAD_REQUEST, NOT_FOUND, Call, RequestError
-from ._crashes import format_part
+from ._crashes import format_key
 from ._state import GatewayState
 
 WHERE_PATH = "/where"
@@ -224,7 +224,7 @@
     return {
         "reason": Reason.PART_QUARANTINED,
         "retry_after_ms": quarantine.until_ms - now_ms,
-        "detail": f"part {format_part(quarantine.part)}, {quarantine.crashes} crashes,"
+        "detail": f"part {format_key(quarantine.part)}, {quarantine.crashes} crashes,"
         f" the last {now_ms - quarantine.last_crash_ms} ms ago",
     }
 
--- a/pistachiohaven/components/quarantine/__init__.py
+++ b/pistachiohaven/components/quarantine/__init__.py
@@ -9,6 +9,7 @@
     TargetPlace,
     is_never_cold,
 )
+from ._keys import is_request_key, request_key
 from .const import MAX_ACCUSED_PARTS, PROOF_AGE_MS
 
 __all__ = [
@@ -24,4 +25,6 @@
     "TargetCrash",
     "TargetPlace",
     "is_never_cold",
+    "is_request_key",
+    "request_key",
 ]
--- a/pistachiohaven/helpers/__init__.py
+++ b/pistachiohaven/helpers/__init__.py
@@ -2,7 +2,13 @@
 
 from ._clock import Clock
 from ._ewma import Ewma
-from ._hashing import rendezvous_first, rendezvous_order, stable_fraction, stable_hash
+from ._hashing import (
+    rendezvous_first,
+    rendezvous_order,
+    stable_bytes_hash,
+    stable_fraction,
+    stable_hash,
+)
 from ._ids import make_uuid7, uuid7_stamp_ms
 from ._logs import BoundedLog, ComponentLogger, log_bounded, log_to
 from ._ttl import TtlMap
@@ -18,6 +24,7 @@
     "make_uuid7",
     "rendezvous_first",
     "rendezvous_order",
+    "stable_bytes_hash",
     "stable_fraction",
     "stable_hash",
     "uuid7_stamp_ms",
--- a/pistachiohaven/helpers/_hashing.py
+++ b/pistachiohaven/helpers/_hashing.py
@@ -10,6 +10,18 @@
     return xxhash.xxh3_64_intdigest("\x1f".join(parts).encode())
 
 
+def stable_bytes_hash(*parts: bytes) -> int:
+    """Return a 64-bit hash of `parts` that is the same in every process.
+
+    It differs if the same bytes are divided into other parts.
+    """
+    hasher = xxhash.xxh3_64()
+    for part in parts:
+        hasher.update(b"%d\x1f" % len(part))
+        hasher.update(part)
+    return hasher.intdigest()
+
+
 def stable_fraction(*parts: str) -> float:
     """Return a number from 0 to below 1 that is the same in every process."""
     return stable_hash(*parts) / 2**64
