Stop a request that crashes one target after the other

Cause: each attempt of a request has a new id, and the quarantine only knew parts of prompts that requests share, so that nothing remembered a request over its attempts. Requests without prompts were not covered at all. Change: the crashes of a request are counted in the same table, under a key of its method, host, path, query, organisation and body. Three crashed targets without a complete response in between put it in quarantine for ten minutes, twice as long after each further crash. A first crash is passed on after 500 ms, in which most sound requests complete elsewhere. The quarantine is asked again just before a request is sent; a suspect is not hedged, and each request waits for a peer's first message in the 400 ms after a start.

--- a/pistachiohaven/components/gateway/_crashes.py
+++ b/pistachiohaven/components/gateway/_crashes.py
@@ -1,4 +1,4 @@
-"""Detection of crashed targets, and exchange of the prompt parts that crash them."""
+"""Detection of crashed targets, and exchange of what crashes them."""
 
 from collections.abc import Callable
 from dataclasses import dataclass, field
@@ -26,8 +26,10 @@
     TargetCrash,
     TargetPlace,
     is_never_cold,
+    is_request_key,
 )
 from pistachiohaven.const import MS_PER_S
+from pistachiohaven.core import Reason
 from pistachiohaven.helpers import Clock, ComponentLogger
 
 from ._connections import ConnectionPool
@@ -78,7 +80,7 @@
 
 
 class CrashLink:
-    """Sender and receiver of crashes by part, with log lines for quarantines.
+    """Sender and receiver of crashes by part and by request, with log lines.
 
     `is_cold` tells of cold targets that the store does not list as such, and
     `count_targets` returns the number of targets of a pool.
@@ -147,7 +149,7 @@
         pool: Pool | None,
         is_repeat: bool,
     ) -> None:
-        """Record the crash of a target during a request with `parts`.
+        """Record the crash of a target during a request with the keys `parts`.
 
         It counts against them unless something else explains it. Peers are told at once
         if parts are suspect.
@@ -212,7 +214,7 @@
         """Record a response that proves parts to be sound; tell peers of suspects."""
         change = self._quarantine.record_proof(parts, now_ms=self._clock.now_ms())
         for part in change.released:
-            self._log.info("part_released", part=format_key(part))
+            self._log.info("quarantine_ended", key=format_key(part))
         self._send_reports(change.suspects)
 
     def _send_reports(self, parts: list[int], *, max_peers: int | None = None) -> None:
@@ -305,8 +307,8 @@
         now_ms = self._clock.now_ms()
         for quarantine in begun:
             self._log.info(
-                "part_quarantined",
-                part=format_key(quarantine.part),
+                quarantine_reason(quarantine),
+                key=format_key(quarantine.part),
                 crashes=quarantine.crashes,
                 age_ms=now_ms - quarantine.last_crash_ms,
                 for_ms=quarantine.until_ms - now_ms,
@@ -314,6 +316,13 @@
             )
 
 
+def quarantine_reason(quarantine: Quarantine) -> Reason:
+    """Return the reason for which requests are refused by `quarantine`."""
+    if is_request_key(quarantine.part):
+        return Reason.REQUEST_QUARANTINED
+    return Reason.PART_QUARANTINED
+
+
 def format_key(key: int) -> str:
     """Return the key of a part or a request as it is written to the logs."""
     return f"{key:08x}"
--- a/pistachiohaven/components/gateway/_request.py
+++ b/pistachiohaven/components/gateway/_request.py
@@ -23,7 +23,7 @@
 
 from ._call import Call
 from ._connections import ConnectionPool
-from ._crashes import format_key
+from ._crashes import format_key, quarantine_reason
 from ._dispatch import (
     NOT_RUN_FAILURES,
     NOT_RUN_STATUSES,
@@ -141,6 +141,11 @@
             body=self._body,
         )
 
+    @property
+    def _crash_keys(self) -> tuple[int, ...]:
+        """Return the keys by which crashes during the request are recorded."""
+        return (*self._call.part_hashes, self._request_key)
+
     # Dispatches
 
     async def _run_attempts(self) -> None:
@@ -150,8 +155,7 @@
                 Reason.VERSION_UNKNOWN, ORIGIN_RETRY_AFTER_MS
             )
             return
-        if self._call.part_hashes:
-            await self._state.crash_link.wait_for_peers()
+        await self._state.crash_link.wait_for_peers()
         while True:
             if await self._refuse_quarantined():
                 return
@@ -181,30 +185,31 @@
                 return
 
     def _find_quarantine(self) -> Quarantine | None:
-        """Return the quarantine of a part of the prompt, or None."""
+        """Return the quarantine of the request or of a part of its prompt, or None."""
         return self._state.quarantine.find(
-            self._call.part_hashes, now_ms=self._state.clock.now_ms()
+            self._crash_keys, now_ms=self._state.clock.now_ms()
         )
 
     async def _refuse_quarantined(self) -> bool:
-        """Refuse the request if a part of its prompt is in quarantine."""
+        """Refuse the request if it or a part of its prompt is in quarantine."""
         quarantine = self._find_quarantine()
         if quarantine is None:
             return False
         now_ms = self._state.clock.now_ms()
         retry_after_ms = quarantine.until_ms - now_ms
+        reason = quarantine_reason(quarantine)
         self._state.log.info(
             "refused",
             request_id=self._call.head.attempt_id,
-            reason=Reason.PART_QUARANTINED,
+            reason=reason,
             route=self._call.route.name,
-            part=format_key(quarantine.part),
+            key=format_key(quarantine.part),
             crashes=quarantine.crashes,
             age_ms=now_ms - quarantine.last_crash_ms,
             source=quarantine.source,
             retry_after_ms=retry_after_ms,
         )
-        await self._respond_without_target(Reason.PART_QUARANTINED, retry_after_ms)
+        await self._respond_without_target(reason, retry_after_ms)
         return True
 
     def _release_slot(self, target: str) -> None:
@@ -262,7 +267,9 @@
             return FailedDispatch(failure=Failure.NOT_SENT, detail="target gone")
         if self._job.version not in (None, load.target.version):
             return FailedDispatch(failure=Failure.NOT_SENT, detail="version changed")
-        if HedgedDispatch.may_hedge(self._call, state.hedge_policy):
+        if not state.quarantine.has_crashes(
+            self._request_key
+        ) and HedgedDispatch.may_hedge(self._call, state.hedge_policy):
             return await self._run_hedged(load)
         return await self._run_dispatch(load)
 
@@ -303,7 +310,7 @@
             admit=partial(self._admit, load, is_hedge=is_hedge),
             may_move=partial(self._may_move, load.target.name),
             on_first_event=partial(self._record_origin, load.target.version),
-            on_proof=partial(state.crash_link.record_proof, self._call.part_hashes),
+            on_proof=partial(state.crash_link.record_proof, self._crash_keys),
         )
         if not self._is_dispatch_recorded:
             self._is_dispatch_recorded = True
@@ -318,32 +325,28 @@
         state.placer.schedule_waiting()
         if dispatch.is_sent:
             self._sent_count += 1
-        if self._call.part_hashes or (
-            isinstance(result, FailedDispatch) and result.is_cut
-        ):
-            await self._record_parts(dispatch, result, load)
+        await self._record_evidence(dispatch, result, load)
         outcome = result.failure if isinstance(result, FailedDispatch) else "answered"
         state.metrics.dispatches.labels(self._call.pool_name, outcome).inc()
         if isinstance(result, FailedDispatch) and result.failure is Failure.NEVER_RAN:
             self._possible_runs -= 1
         return result
 
-    async def _record_parts(
+    async def _record_evidence(
         self,
         dispatch: Dispatch,
         result: CompleteResponse | CompletedStream | FailedDispatch,
         load: TargetLoad,
     ) -> None:
-        """Record what a dispatch says about the parts of the prompt.
+        """Record what a dispatch says about the request and the parts of its prompt.
 
         A complete response proves that they are sound. Only a response that had just
         begun, or had not yet, may have crashed its target.
         """
         state = self._state
-        parts = self._call.part_hashes
         if not isinstance(result, FailedDispatch):
             if result.has_known_end:
-                state.crash_link.record_proof(parts)
+                state.crash_link.record_proof(self._crash_keys)
             return
         if not result.is_cut or dispatch.is_proof:
             return
@@ -361,7 +364,7 @@
                 is_repeat=self._crashed_targets > 0,
             )
             state.crash_link.record_crash(
-                parts,
+                self._crash_keys,
                 load=load,
                 pool=self._call.pool,
                 is_repeat=self._crashed_targets > 0,
@@ -485,10 +488,12 @@
         )
 
     def _admit(self, load: TargetLoad, *, is_hedge: bool) -> str | None:
-        """Use the reserved repeat of a dispatch that is about to be sent.
+        """Return why a dispatch must not be sent now, None if it may be.
 
-        Return why the dispatch must not be sent, None if it may be.
+        A dispatch that may be sent uses the repeat that was reserved for it.
         """
+        if self._find_quarantine() is not None:
+            return "in quarantine"
         permit = self._hedge_permit if is_hedge else self._permit
         if permit is None:
             return None
--- a/pistachiohaven/components/quarantine/_core.py
+++ b/pistachiohaven/components/quarantine/_core.py
@@ -1,4 +1,4 @@
-"""Crashes of targets by the parts of the prompts that they responded to."""
+"""Crashes of targets by the requests that they responded to, and by their parts."""
 
 from collections import OrderedDict
 from collections.abc import Iterable, Sequence
@@ -6,6 +6,7 @@
 
 from ._comparison import PartShares, SeenCrashes, chance_of
 from ._explanations import TargetPlace
+from ._keys import is_request_key
 from .const import (
     CHANGE_REPORT_MS,
     MAX_CHANCE,
@@ -23,6 +24,8 @@
     PROOF_TTL_MS,
     QUARANTINE_MS,
     REPORT_AGE_MS,
+    REQUEST_HOLD_MS,
+    REQUEST_QUARANTINE_MS,
     SEPARATE_AFTER_MS,
 )
 
@@ -42,9 +45,9 @@
 
 @dataclass(frozen=True, slots=True, kw_only=True)
 class PartReport:
-    """What is known of one part, to be passed on to peers.
+    """What is known of one part or request, to be passed on to peers.
 
-    `part` is its hash. `proven_age_ms` is the age of the newest response that proves
+    `part` is its key. `proven_age_ms` is the age of the newest response that proves
     it to be sound, None if none is known.
     """
 
@@ -55,7 +58,7 @@
 
 @dataclass(frozen=True, slots=True, kw_only=True)
 class Quarantine:
-    """Quarantine of the part with hash `part` until `until_ms`, after `crashes`.
+    """Quarantine of the part or request `part` until `until_ms`, after `crashes`.
 
     `last_crash_ms` and `until_ms` are monotonic times. `source` is "own" or the name of
     the peer from which the last crash is known.
@@ -115,7 +118,7 @@
 
 
 class PartQuarantine:
-    """Parts of prompts that crash the targets which respond to them.
+    """Parts of prompts, and requests, that crash the targets which respond to them.
 
     A request that crashes its target looks like all others that the target served at
     that moment. What they have in common over several crashes of different targets
@@ -129,8 +132,13 @@
     in many crashes of any cause: it takes more crashes than its share of the requests
     makes likely. A group of targets that crash together has a cause of its own.
 
-    Parts are known by hashes of their ids. Times are monotonic milliseconds and never
-    decrease from one call to the next.
+    A request that comes again has the same key in each attempt. It is evidence like a
+    part that no other request has: the requests that were on the same target by chance
+    complete elsewhere, which proves them. Proofs of a request are kept only if it has
+    crashes, since most requests never come again.
+
+    Parts are known by hashes of their ids, requests by their keys. Times are monotonic
+    milliseconds and never decrease from one call to the next.
     """
 
     def __init__(self) -> None:
@@ -154,6 +162,11 @@
                 return quarantine
         return None
 
+    def has_crashes(self, key: int) -> bool:
+        """Return True if a part or request has crashes since its last proof."""
+        known = self._parts.get(key)
+        return known is not None and bool(known.crashes)
+
     def may_repeat(self, parts: Iterable[int]) -> bool:
         """Return True if a request whose target crashed may be sent to another one.
 
@@ -205,7 +218,12 @@
             known = self._parts.get(part)
             if known is not None and target in known.crashes:
                 continue
-            crash = _Crash(at_ms=now_ms, is_repeat=is_repeat, source=SOURCE_OWN)
+            # One request on two targets that crash at one moment is a coincidence.
+            crash = _Crash(
+                at_ms=now_ms,
+                is_repeat=is_repeat or is_request_key(part),
+                source=SOURCE_OWN,
+            )
             quarantine = self._add_crash(part, target, crash, now_ms=now_ms)
             if quarantine is not None:
                 begun.append(quarantine)
@@ -286,6 +304,7 @@
                 known.was_passed_on
                 or self._min_crashes(part, known) - _count_separate(known) < MIN_CRASHES
             )
+            and not self._is_held(part, known, now_ms=now_ms)
             and (
                 now_ms - known.changed_ms < max_age_ms
                 or (not changed_only and self.find([part], now_ms=now_ms) is not None)
@@ -332,6 +351,8 @@
         """
         if proven_ms <= self._proven_ms.get(part, proven_ms - 1):
             return False
+        if is_request_key(part) and part not in self._parts:
+            return False
         self._proven_ms[part] = proven_ms
         self._proven_ms.move_to_end(part)
         if len(self._proven_ms) > MAX_PROVEN_PARTS:
@@ -355,6 +376,14 @@
         known.was_quarantined = self._quarantine(part, known) is not None
         return not known.was_quarantined
 
+    def _is_held(self, part: int, known: _Part, *, now_ms: int) -> bool:
+        """Return True if a request may still prove that its only crash was chance."""
+        return (
+            is_request_key(part)
+            and len(known.crashes) == 1
+            and now_ms - known.changed_ms < REQUEST_HOLD_MS
+        )
+
     def _is_suspect(self, part: int) -> bool:
         """Return True if one more crash would put `part` in quarantine."""
         known = self._parts.get(part)
@@ -382,11 +411,12 @@
         if surplus < 0 or self._is_chance(part, counted, count=count):
             return None
         last = max(counted.crashes.values(), key=lambda crash: crash.at_ms)
+        first_ms = REQUEST_QUARANTINE_MS if is_request_key(part) else QUARANTINE_MS
         return Quarantine(
             part=part,
             crashes=count,
             last_crash_ms=last.at_ms,
-            until_ms=last.at_ms + min(QUARANTINE_MS << surplus, MAX_QUARANTINE_MS),
+            until_ms=last.at_ms + min(first_ms << surplus, MAX_QUARANTINE_MS),
             source=last.source,
         )
 
--- a/pistachiohaven/components/quarantine/const.py
+++ b/pistachiohaven/components/quarantine/const.py
@@ -1,4 +1,4 @@
-"""Constants of the quarantine of prompt parts that crash targets."""
+"""Constants of the quarantine of parts and requests that crash targets."""
 
 from typing import Final
 
@@ -34,6 +34,15 @@
 
 MAX_QUARANTINE_MS: Final = 3_600_000
 
+REQUEST_QUARANTINE_MS: Final = 600_000
+"""The same for a request, which nobody else shares."""
+
+REQUEST_HOLD_MS: Final = 500
+"""Time in which a request may prove to be sound before its first crash is passed on.
+
+All requests that a crashed target had begun are suspects; most complete elsewhere.
+"""
+
 PROOF_AGE_MS: Final = 500
 """Age of a response from which it proves that the parts of its prompt are sound.
 
--- a/pistachiohaven/core.py
+++ b/pistachiohaven/core.py
@@ -72,6 +72,9 @@
     NO_HOME_TARGET = "no_home_target"
     """No target in the regions to which the route or the organisation is bound."""
 
+    REQUEST_QUARANTINED = "request_quarantined"
+    """The request crashed several targets."""
+
     PART_QUARANTINED = "part_quarantined"
     """Requests with the same part in their prompts crashed several targets."""
 
--- a/tests/components/gateway/scripted_targets.py
+++ b/tests/components/gateway/scripted_targets.py
@@ -33,6 +33,10 @@
 SLOTS = 4
 
 
+class TargetEndsError(Exception):
+    """Marker in a target's output at which it ends."""
+
+
 def signed(headers: dict[str, str]) -> dict[str, str]:
     """Return the headers that a valid response to a request has."""
     return {
@@ -99,6 +103,9 @@
         if not self.output:
             await trio.sleep_forever()
         output = self.output.pop(0)
+        if output is TargetEndsError:
+            self._pool.ended.add(self.address)
+            raise httpcore.ReadError
         if not isinstance(output, bytes):
             raise output
         return output
@@ -120,6 +127,7 @@
         self.clock = clock
         self.steps = steps
         self.refusals = refusals
+        self.ended: set[str] = set()
         self.arrived_ms: list[int] = []
         self.sent_headers: list[dict[str, str]] = []
         self.streams: list[ScriptedStream] = []
@@ -128,6 +136,8 @@
         if self.refusals:
             self.refusals -= 1
             return Err("ConnectError")
+        if address in self.ended:
+            return Err("ConnectError")
         host, _, port = address.rpartition(":")
         origin = httpcore.Origin(b"http", host.encode(), int(port))
         stream = ScriptedStream(self, address)
--- a/tests/components/gateway/version_simulation.py
+++ b/tests/components/gateway/version_simulation.py
@@ -287,6 +287,7 @@
     """Caller of one stream: its events by attempt, and what became of each attempt."""
 
     name: str
+    body: bytes
     headers: dict[str, str] = field(default_factory=dict)
     events: list[tuple[int, str]] = field(default_factory=list)
     first_attempt: str = ""
@@ -428,7 +429,9 @@
 
     async def _call(self, name: str) -> None:
         """Call until the stream is complete, and take it up again where it broke."""
-        caller = Caller(name=name, headers=self.caller_headers(name))
+        headers = self.caller_headers(name)
+        body = self.caller_body(name, headers)
+        caller = Caller(name=name, body=body, headers=headers)
         self.result.callers.append(caller)
         give_up_s = trio.current_time() + CALLER_TIME_S
         for number in range(MAX_ATTEMPTS):
@@ -487,6 +490,10 @@
         """Return additional headers of the requests of a caller."""
         return {}
 
+    def caller_body(self, name: str, headers: dict[str, str]) -> bytes:
+        """Return the body of the requests of a caller, by default its own."""
+        return name.encode()
+
     # Disturbances
 
     def crashes_target(self, entry: Entry, headers: dict[str, str]) -> bool:
@@ -571,7 +578,7 @@
             "pistachiohaven-attempt-id": self._attempt_id,
             "pistachiohaven-credential": "key-1",
             "pistachiohaven-deadline-ms": str(int(left_s * 1_000)),
-            "content-length": "2",
+            "content-length": str(len(caller.body)),
             **caller.headers,
         }
         if caller.events:
@@ -595,7 +602,7 @@
             state=state,
             pool=self._entry.pool,
             call=parsed.ok_value,
-            body=b"{}",
+            body=caller.body,
             response=writer,
         ).run()
 
--- a/tests/components/quarantine/crash_replay.py
+++ b/tests/components/quarantine/crash_replay.py
@@ -75,7 +75,7 @@
     def info(self, event: str, **fields: Any) -> None:
         """Note the parts in quarantine, as the log does."""
         if event == "part_quarantined":
-            self._replay.quarantined.add(int(fields["part"], 16))
+            self._replay.quarantined.add(int(fields["key"], 16))
 
     def peers_in_order(self, _key: str, *, now_ms: int) -> list[str]:
         peers = [each.name for each in self._replay.gateways if each is not self]
