Let an odd entry of the store end nothing but itself

Callers: after one odd entry of another writer, gateways that read it could end again and again, or stop following the list. Cause: decoders caught only some of msgspec's exceptions. Nested content raises RecursionError; digits of other scripts and numbers of 5,000 digits raise ValueError; infinite and huge numbers raise OverflowError, later also where they go into a message to peers. Addresses were not checked to be ones. Fields have bounds, and an address is an IPv4 address with a port. Also checked: records that peers pass on, numbers of callers and of targets. Measured: tests of the platform, state, publisher, peers and exchange pass.

--- a/pistachiohaven/components/exchange/_messages.py
+++ b/pistachiohaven/components/exchange/_messages.py
@@ -4,9 +4,9 @@
 from collections.abc import Iterable
 
 import msgspec
-from result import Err, Ok, Result
+from result import Result
 
-from pistachiohaven.helpers import stable_hash
+from pistachiohaven.helpers import decode_msgpack, stable_hash
 
 PORT_BYTES = 2
 IP_BYTES = (4, 16)
@@ -290,7 +290,5 @@
 
 def decode_datagram(data: bytes) -> Result[Datagram, str]:
     """Return the message of a datagram, or the text of the decoding error."""
-    try:
-        return Ok(msgspec.msgpack.decode(data, type=Datagram))
-    except (msgspec.DecodeError, msgspec.ValidationError) as error:
-        return Err(str(error))
+    # The union of the messages is no class.
+    return decode_msgpack(data, Datagram)  # type: ignore[arg-type]
--- a/pistachiohaven/components/gateway/_app.py
+++ b/pistachiohaven/components/gateway/_app.py
@@ -21,7 +21,7 @@
 from pistachiohaven.components.web.const import NOT_FOUND, OK, TOO_LARGE
 from pistachiohaven.const import MS_PER_S
 from pistachiohaven.core import Reason
-from pistachiohaven.helpers import BoundedLog
+from pistachiohaven.helpers import BoundedLog, parse_whole
 
 from ._admit import admit_call
 from ._call import BAD_REQUEST, Call, RequestError
@@ -256,7 +256,7 @@
         elif path == STORE_RECORDS_PATH:
             query = parse_qs(scope["query_string"].decode("latin-1"))
             after = query.get("after", ["0"])[0]
-            after_revision = int(after) if after.isdigit() else 0
+            after_revision = parse_whole(after) or 0
             body = encode_store_response(self._state, after=after_revision)
             await send_response(send, status=OK, headers=[], body=body)
         elif path == WHERE_PATH:
--- a/pistachiohaven/components/gateway/_connections.py
+++ b/pistachiohaven/components/gateway/_connections.py
@@ -8,7 +8,7 @@
 
 from pistachiohaven.components.web import MeteredBackend
 from pistachiohaven.const import MS_PER_S
-from pistachiohaven.helpers import Clock
+from pistachiohaven.helpers import Clock, parse_whole
 
 from .const import (
     CONNECT_TIMEOUT_MS,
@@ -185,6 +185,7 @@
         if name == b"keep-alive":
             for part in value.split(b","):
                 parameter, _, seconds = part.strip().partition(b"=")
-                if parameter.lower() == b"timeout" and seconds.isdigit():
-                    return int(seconds) * MS_PER_S - IDLE_MARGIN_MS
+                idle_s = parse_whole(seconds)
+                if parameter.lower() == b"timeout" and idle_s is not None:
+                    return idle_s * MS_PER_S - IDLE_MARGIN_MS
     return DEFAULT_MAX_IDLE_MS
--- a/pistachiohaven/components/gateway/_events.py
+++ b/pistachiohaven/components/gateway/_events.py
@@ -3,6 +3,7 @@
 from dataclasses import dataclass
 
 from pistachiohaven.components.web import EndlessResponseError
+from pistachiohaven.helpers import parse_whole
 
 from .const import (
     EVENT_COST_BYTES,
@@ -95,5 +96,5 @@
     for line in event.split(b"\n"):
         if line.startswith(b"id:"):
             value = line[3:].strip()
-            return int(value) if value.isdigit() else None
+            return parse_whole(value)
     return None
--- a/pistachiohaven/components/gateway/_store_watch.py
+++ b/pistachiohaven/components/gateway/_store_watch.py
@@ -10,6 +10,7 @@
 from pistachiohaven.components.fleet import StoreRecord
 from pistachiohaven.components.web import call, make_connection_pool
 from pistachiohaven.const import MS_PER_S
+from pistachiohaven.helpers import decode_msgpack
 
 from ._state import GatewayState
 from .const import (
@@ -78,6 +79,11 @@
     return msgspec.msgpack.encode(response)
 
 
+def decode_store_response(body: bytes) -> Result[PeerStoreResponse, str]:
+    """Return the response of another gateway in `body`, or the error message."""
+    return decode_msgpack(body, PeerStoreResponse)
+
+
 class StoreWatcher:
     """Watcher that applies the store's changes to a gateway's state."""
 
@@ -355,16 +361,17 @@
                 "peer_read_failed", peer=peer.member.name, error=http_result.err_value
             )
             return
-        try:
-            response = msgspec.msgpack.decode(
-                http_result.ok_value.body, type=PeerStoreResponse
-            )
-        except (msgspec.DecodeError, msgspec.ValidationError) as error:
+        decoded = decode_store_response(http_result.ok_value.body)
+        if isinstance(decoded, Err):
             state.log.info(
-                "peer_answer_unreadable", peer=peer.member.name, error=str(error)
+                "peer_answer_unreadable",
+                peer=peer.member.name,
+                error=decoded.err_value,
             )
             return
-        apply_peer_response(state, response, peer=peer.member.name, sent_ms=sent_ms)
+        apply_peer_response(
+            state, decoded.ok_value, peer=peer.member.name, sent_ms=sent_ms
+        )
 
 
 def apply_peer_response(
--- a/pistachiohaven/components/peer/_codec.py
+++ b/pistachiohaven/components/peer/_codec.py
@@ -3,7 +3,9 @@
 from typing import TypeVar
 
 import msgspec
-from result import Err, Ok, Result
+from result import Ok, Result
+
+from pistachiohaven.helpers import decode_json, decode_msgpack
 
 from ._models import Report
 
@@ -17,10 +19,7 @@
 
 def decode(content: bytes, kind: type[MessageT]) -> Result[MessageT, str]:
     """Return `content` decoded as a `kind`, or the error message."""
-    try:
-        return Ok(msgspec.msgpack.decode(content, type=kind))
-    except (msgspec.DecodeError, msgspec.ValidationError) as error:
-        return Err(str(error))
+    return decode_msgpack(content, kind)
 
 
 def encode_report(report: Report) -> bytes:
@@ -30,7 +29,5 @@
 
 def decode_report(value: bytes) -> Report | None:
     """Return the report in a header value, or None if it is invalid."""
-    try:
-        return msgspec.json.decode(value, type=Report)
-    except (msgspec.DecodeError, msgspec.ValidationError):
-        return None
+    decoded = decode_json(value, Report)
+    return decoded.ok_value if isinstance(decoded, Ok) else None
--- a/pistachiohaven/components/publisher/_client.py
+++ b/pistachiohaven/components/publisher/_client.py
@@ -4,12 +4,12 @@
 from typing import TypeVar
 
 import httpcore
-import msgspec
 import trio
-from result import Err, Ok, Result
+from result import Err, Result
 
 from pistachiohaven.components.web import read_content
 from pistachiohaven.const import MS_PER_S
+from pistachiohaven.helpers import decode_json
 
 from ._models import InstancesResponse, SettingsResponse
 from .const import INSTANCES_PATH, READ_TIMEOUT_MS, SETTINGS_PATH
@@ -69,8 +69,8 @@
                 return Err(PlatformError.TIMEOUT)
             if response.status != 200:  # noqa: PLR2004
                 return Err(PlatformError.BAD_STATUS)
-            try:
-                return Ok(msgspec.json.decode(content, type=kind))
-            except (msgspec.DecodeError, msgspec.ValidationError):
+            decoded = decode_json(content, kind)
+            if isinstance(decoded, Err):
                 return Err(PlatformError.BAD_ANSWER)
+            return decoded
         return Err(PlatformError.TIMEOUT)
--- a/pistachiohaven/platform/_calls.py
+++ b/pistachiohaven/platform/_calls.py
@@ -7,6 +7,7 @@
 from result import Err, Ok, Result
 
 from pistachiohaven.const import MS_PER_S
+from pistachiohaven.helpers import parse_whole
 
 from . import const as wire
 
@@ -94,7 +95,9 @@
     """Return the head; raise ValueError if a number is invalid."""
     token_counts = header_values.get(wire.TOKEN_COUNTS)
     prompt, output = (
-        (int(part) for part in token_counts.split(b",")) if token_counts else (0, 0)
+        (_parse_tokens(part) for part in token_counts.split(b","))
+        if token_counts
+        else (0, 0)
     )
     deadline = header_values.get(wire.DEADLINE_MS)
     length_hint = header_values.get(wire.LENGTH_HINT)
@@ -105,14 +108,14 @@
         attempt_id=header_values[wire.ATTEMPT_ID].decode("latin-1"),
         host=header_values[b"host"].decode("latin-1"),
         api_key=None if api_key is None else api_key.decode("latin-1"),
-        remaining_ms=None if deadline is None else int(float(deadline)),
+        remaining_ms=None if deadline is None else _parse_number(deadline),
         prompt_tokens=prompt,
         max_output_tokens=output,
-        expected_output_tokens=None if length_hint is None else int(float(length_hint)),
+        expected_output_tokens=None
+        if length_hint is None
+        else _parse_number(length_hint),
         prompt_parts=_parse_prompt_parts(header_values.get(wire.PROMPT_PARTS, b"")),
-        last_event_id=int(event_id_value)
-        if event_id_value and event_id_value.isdigit()
-        else None,
+        last_event_id=parse_whole(event_id_value) if event_id_value else None,
         resumes=resumes.decode("latin-1") if resumes else None,
         has_token_counts=token_counts is not None,
     )
@@ -149,10 +152,26 @@
     for part_text in value.split(b","):
         name, _, tokens = part_text.strip().partition(b":")
         if name:
-            prompt_parts.append((name.decode("latin-1"), int(tokens)))
+            prompt_parts.append((name.decode("latin-1"), _parse_tokens(tokens)))
     return tuple(prompt_parts)
 
 
+def _parse_number(text: bytes) -> int:
+    """Return a number without its fraction; raise ValueError if it is invalid."""
+    number = float(text)
+    if not abs(number) <= wire.MAX_NUMBER:
+        raise ValueError(text)
+    return int(number)
+
+
+def _parse_tokens(text: bytes) -> int:
+    """Return a number of tokens; raise ValueError if it is invalid."""
+    tokens = int(text)
+    if not abs(tokens) <= wire.MAX_NUMBER:
+        raise ValueError(text)
+    return tokens
+
+
 def encode_dispatch(
     headers: Headers,
     *,
@@ -256,7 +275,7 @@
         remaining_ms = float(text)
     except ValueError:
         remaining_ms = math.nan
-    if not math.isfinite(remaining_ms) or remaining_ms < 0:
+    if not 0 <= remaining_ms <= wire.MAX_NUMBER:
         return Err(f"not a time in milliseconds: {text.decode('latin-1')!r}")
     return Ok(math.ceil(remaining_ms))
 
@@ -275,7 +294,7 @@
         pause_ms = float(text) * MS_PER_S
     except ValueError:
         pause_ms = math.nan
-    if not math.isfinite(pause_ms) or pause_ms < 0:
+    if not 0 <= pause_ms <= wire.MAX_NUMBER:
         return Err(f"not a time in seconds: {text.decode('latin-1')!r}")
     return Ok(math.ceil(pause_ms))
 
--- a/pistachiohaven/platform/_configuration.py
+++ b/pistachiohaven/platform/_configuration.py
@@ -1,6 +1,7 @@
 """Decoding of the operators' configuration."""
 
 from enum import StrEnum
+from typing import Annotated
 
 import msgspec
 from result import Err, Ok, Result
@@ -15,6 +16,7 @@
     Split,
 )
 from pistachiohaven.const import MS_PER_S
+from pistachiohaven.helpers import MAX_WHOLE, decode_json
 
 
 class ConfigurationError(StrEnum):
@@ -24,9 +26,13 @@
     """The configuration could not be decoded."""
 
 
+_Whole = Annotated[int, msgspec.Meta(ge=-MAX_WHOLE, le=MAX_WHOLE)]
+_Number = Annotated[float, msgspec.Meta(ge=-MAX_WHOLE, le=MAX_WHOLE)]
+
+
 class _Split(msgspec.Struct, kw_only=True):
     service: str
-    weight: int = 1
+    weight: _Whole = 1
 
 
 class _Route(msgspec.Struct, kw_only=True, rename="camel"):
@@ -34,15 +40,15 @@
     host: str
     prefix: str
     kind: str
-    timeout_ms: int
-    target_latency_ms: int = 0
-    priority: int = 0
+    timeout_ms: _Whole
+    target_latency_ms: _Whole = 0
+    priority: _Whole = 0
     service: str | None = None
     traffic_split: list[_Split] = []
-    attempts: int = 1
+    attempts: _Whole = 1
     public: bool = False
     stream_resumption: bool = False
-    itl_target_ms: int = 0
+    itl_target_ms: _Whole = 0
     allowed_regions: list[str] = []
 
     def to_route(self) -> Route:
@@ -83,15 +89,15 @@
 
 
 class _Engine(msgspec.Struct, kw_only=True, rename="camel"):
-    kv_cache_tokens: int = 0
-    stride: int = 1
+    kv_cache_tokens: _Whole = 0
+    stride: _Whole = 1
 
 
 class _Service(msgspec.Struct, kw_only=True, rename="camel"):
     name: str
-    connection_limit: int = 0
-    cold_start_s: float = 0.0
-    cold_per_s: float = 0.0
+    connection_limit: _Whole = 0
+    cold_start_s: _Number = 0.0
+    cold_per_s: _Number = 0.0
     engine: _Engine | None = None
 
     def to_pool(self) -> Pool:
@@ -108,19 +114,19 @@
 
 
 class _Limits(msgspec.Struct, kw_only=True, rename="camel"):
-    max_header_bytes: int = 16_384
-    max_body_bytes: int = 4_194_304
-    header_timeout_ms: int = 3_000
-    idle_timeout_ms: int = 15_000
+    max_header_bytes: _Whole = 16_384
+    max_body_bytes: _Whole = 4_194_304
+    header_timeout_ms: _Whole = 3_000
+    idle_timeout_ms: _Whole = 15_000
 
 
 class _Tenant(msgspec.Struct, kw_only=True, rename="camel"):
     name: str
     api_keys: list[str] = []
-    priority: int | None = None
-    uncached_tokens: int = 0
-    rate_per_s: float = 0.0
-    burst: float = 0.0
+    priority: _Whole | None = None
+    uncached_tokens: _Whole = 0
+    rate_per_s: _Number = 0.0
+    burst: _Number = 0.0
     allowed_regions: list[str] = []
 
     def to_organisation(self) -> Organisation:
@@ -140,7 +146,7 @@
 
 
 class _Configuration(msgspec.Struct, kw_only=True):
-    version: int
+    version: _Whole
     routes: list[_Route]
     services: list[_Service] = []
     limits: _Limits = msgspec.field(default_factory=_Limits)
@@ -149,10 +155,10 @@
 
 def decode_configuration(value: bytes) -> Result[FleetConfig, ConfigurationError]:
     """Return the configuration in `value` (JSON); routes without splits are omitted."""
-    try:
-        configuration = msgspec.json.decode(value, type=_Configuration)
-    except (msgspec.DecodeError, msgspec.ValidationError):
+    decoded = decode_json(value, _Configuration)
+    if isinstance(decoded, Err):
         return Err(ConfigurationError.UNREADABLE)
+    configuration = decoded.ok_value
     routes = tuple(each.to_route() for each in configuration.routes)
     limits = CallerLimits(**msgspec.structs.asdict(configuration.limits))
     return Ok(
--- a/pistachiohaven/platform/_store.py
+++ b/pistachiohaven/platform/_store.py
@@ -4,6 +4,7 @@
 import binascii
 from dataclasses import dataclass
 from enum import StrEnum
+from typing import Annotated
 from urllib.parse import urlencode
 
 import httpcore
@@ -11,6 +12,7 @@
 from result import Err, Ok, Result
 
 from pistachiohaven.components.web import MAX_CONTENT_BYTES, CallError, call
+from pistachiohaven.helpers import decode_json, parse_whole
 
 from .const import (
     KEY_PATH,
@@ -44,6 +46,9 @@
 ERA_SHIFT_BITS = 40
 """Bits of a revision of this project that hold the store's own revision."""
 
+MAX_ERA = 2**23 - 1
+"""Largest era with which a revision fits into 63 bits."""
+
 
 def make_revision(era: int, store_revision: int) -> int:
     """Return the revision that orders changes across eras of the store.
@@ -87,9 +92,12 @@
     store_revision: int
 
 
+_StoreRevision = Annotated[int, msgspec.Meta(ge=0, lt=1 << ERA_SHIFT_BITS)]
+
+
 class _Item(msgspec.Struct, kw_only=True):
     key: str
-    revision: int
+    revision: _StoreRevision
     value: str = ""
     deleted: bool = False
 
@@ -110,26 +118,26 @@
 
 
 class _KeyResponse(_Item, kw_only=True):
-    at: int
+    at: _StoreRevision
 
 
 class _RangePage(msgspec.Struct, kw_only=True, rename="camel"):
     items: list[_Item]
-    at: int
+    at: _StoreRevision
     has_more: bool = False
 
 
 class _WatchResponse(msgspec.Struct, kw_only=True):
     events: list[_Item]
-    at: int
+    at: _StoreRevision
 
 
 def decode_item(body: bytes, *, era: int = 0) -> Result[Snapshot, StoreError]:
     """Return the only item of a store response in `era`."""
-    try:
-        key_response = msgspec.json.decode(body, type=_KeyResponse)
-    except (msgspec.DecodeError, msgspec.ValidationError, UnicodeDecodeError):
+    decoded = decode_json(body, _KeyResponse)
+    if isinstance(decoded, Err):
         return Err(StoreError.UNREADABLE)
+    key_response = decoded.ok_value
     revision = make_revision(era, key_response.at)
     return Ok(
         Snapshot(
@@ -146,10 +154,10 @@
     They are complete up to the newest one, and without any up to revision 0: the store
     may have found them before a change that its own revision includes.
     """
-    try:
-        response = msgspec.json.decode(body, type=_WatchResponse)
-    except (msgspec.DecodeError, msgspec.ValidationError, UnicodeDecodeError):
+    decoded = decode_json(body, _WatchResponse)
+    if isinstance(decoded, Err):
         return Err(StoreError.UNREADABLE)
+    response = decoded.ok_value
     changes = tuple(event.to_change(era) for event in response.events)
     return Ok(
         Snapshot(
@@ -222,10 +230,10 @@
             if size_bytes > MAX_CONTENT_BYTES:
                 return Err(StoreError.TOO_LARGE)
             era = read.ok_value.era
-            try:
-                page = msgspec.json.decode(read.ok_value.body, type=_RangePage)
-            except (msgspec.DecodeError, msgspec.ValidationError, UnicodeDecodeError):
+            decoded = decode_json(read.ok_value.body, _RangePage)
+            if isinstance(decoded, Err):
                 return Err(StoreError.UNREADABLE)
+            page = decoded.ok_value
             if after and era != revision_era(revision):
                 return Err(StoreError.HISTORY_GONE)
             items += [item.to_change(era) for item in page.items]
@@ -276,9 +284,9 @@
         if isinstance(response, Err):
             return Err(_CALL_ERRORS.get(response.err_value, StoreError.UNREACHABLE))
         era_text = response.ok_value.headers.get(STORE_ERA, b"0")
-        if not era_text.isdigit():
+        era = parse_whole(era_text, max_value=MAX_ERA)
+        if era is None:
             return Err(StoreError.UNREADABLE)
-        era = int(era_text)
         if response.ok_value.status == _STATUS_NOT_FOUND:
             return Ok(_Read(body=b"", era=era))
         if response.ok_value.status == _STATUS_GONE:
--- a/pistachiohaven/platform/_targets.py
+++ b/pistachiohaven/platform/_targets.py
@@ -1,15 +1,18 @@
 """Decoding of the store entries with which targets register."""
 
+import ipaddress
 import math
 from enum import StrEnum
+from typing import Annotated
 
 import msgspec
 from result import Err, Ok, Result
 
 from pistachiohaven.components.fleet import Target
 from pistachiohaven.components.fleet.const import DEFAULT_SLOTS
+from pistachiohaven.helpers import decode_json, parse_whole
 
-from .const import TARGETS_PREFIX
+from .const import MAX_NUMBER, TARGETS_PREFIX
 
 
 class TargetError(StrEnum):
@@ -25,20 +28,23 @@
     """The address is not an IPv4 address with a port."""
 
 
+MAX_SLOTS = 65_535
+"""Most requests that one target runs at once; an entry with more is odd."""
+
+
 class _Entry(msgspec.Struct, kw_only=True, rename="camel"):
     service: str
     address: str
     state: str
     zone: str = ""
     version: str = ""
-    slots: int = DEFAULT_SLOTS
-    born: int = 0
-    cold_remaining_ms: float = 0.0
+    slots: Annotated[int, msgspec.Meta(ge=0, le=MAX_SLOTS)] = DEFAULT_SLOTS
+    born: Annotated[int, msgspec.Meta(ge=0, le=MAX_NUMBER)] = 0
+    cold_remaining_ms: Annotated[float, msgspec.Meta(le=MAX_NUMBER)] = 0.0
 
 
 _LEAVING_BY_STATE = {"ready": False, "draining": True}
 _MAX_PORT = 65_535
-_IPV4_OCTETS = 4
 
 
 def decode_target(key: str, value: bytes) -> Result[Target, TargetError]:
@@ -46,10 +52,10 @@
 
     `born` (Unix milliseconds) distinguishes incarnations with the same name.
     """
-    try:
-        entry = msgspec.json.decode(value, type=_Entry)
-    except (msgspec.DecodeError, msgspec.ValidationError, UnicodeDecodeError):
+    decoded = decode_json(value, _Entry)
+    if isinstance(decoded, Err):
         return Err(TargetError.UNREADABLE)
+    entry = decoded.ok_value
     leaving = _LEAVING_BY_STATE.get(entry.state)
     if leaving is None:
         return Err(TargetError.UNKNOWN_STATE)
@@ -71,8 +77,9 @@
 
 
 def _is_address(address_text: str) -> bool:
-    host, _, port = address_text.rpartition(":")
-    octets = host.split(".")
-    if len(octets) != _IPV4_OCTETS or not all(part.isdigit() for part in octets):
+    host, _, port_text = address_text.rpartition(":")
+    try:
+        ipaddress.IPv4Address(host)
+    except ipaddress.AddressValueError:
         return False
-    return port.isdigit() and 0 < int(port) <= _MAX_PORT
+    return bool(parse_whole(port_text, max_value=_MAX_PORT))
--- a/pistachiohaven/platform/const.py
+++ b/pistachiohaven/platform/const.py
@@ -123,3 +123,6 @@
 
 PAGE_LIMIT: Final = 200
 """Largest number of pages that are read for one list; a page has about 500 items."""
+
+MAX_NUMBER: Final = 2**53 - 1
+"""Largest number that callers and targets may name; it stays exact as a float."""
