Take a refusal on a kept connection only for the request that it names

Callers: 'not run, try again' for a request that a target ran, or it ran at a second target. Cause: responses with the id of another request were rejected, but a refusal without an id counted for whatever request was on the connection. A target that writes an earlier refusal once more, after the next request was written, thus spoke for that one. Change: on a reused connection each response must carry the attempt id, as targets echo it; without it the outcome is unknown. Bytes that wait before a request is written already kept the connection from being used. Stand-ins that reject now echo the id, as the protocol asks; two of them were caught by this.

--- a/pistachiohaven/components/gateway/_dispatch.py
+++ b/pistachiohaven/components/gateway/_dispatch.py
@@ -266,7 +266,7 @@
         # Also from the head of another request's response: it is about the target.
         if head.status != platform.MISDIRECTED:
             self._observe_notices(self._load, head.status, head.headers)
-        rejection_detail = self._check_head(head)
+        rejection_detail = self._check_head(head, is_reused=not connection.is_new)
         if rejection_detail is not None:
             return FailedDispatch(
                 failure=Failure.NO_ANSWER, detail=rejection_detail, has_responded=True
@@ -279,15 +279,18 @@
             return await self._forward_stream(connection, head)
         return await self._read_complete(connection, head)
 
-    def _check_head(self, head: ResponseHead) -> str | None:
+    def _check_head(self, head: ResponseHead, *, is_reused: bool) -> str | None:
         """Return why a response head is invalid for this request, None if it is valid.
 
         A success must carry the attempt id and the target's signature, without a
-        content coding.
+        content coding. On a reused connection each response must carry the id: it may
+        be that of an earlier request, once more.
         """
         attempt_id = platform.find_attempt_id(head.headers)
         if attempt_id is not None and attempt_id != self._call.head.attempt_id:
             return "answer of another request"
+        if attempt_id is None and is_reused:
+            return "answer of no known request"
         if head.status not in SUCCESS_STATUSES:
             return None
         if attempt_id is None or not platform.is_stamped(head.headers):
--- a/tests/components/gateway/scripted_targets.py
+++ b/tests/components/gateway/scripted_targets.py
@@ -195,19 +195,26 @@
         self.state = GatewayState(settings=GatewaySettings(**fields), clock=self.clock)
         self.pool = ScriptedPool(clock=self.clock, steps=list(steps), refusals=refusals)
         self._requests = 0
-        items: dict[str, object] = {"op/config": make_config()}
+        self._put("op/config", make_config())
         for number in range(targets):
-            items[f"servers/i-{number}"] = {
-                "service": "p",
-                "address": f"10.0.0.{number}:80",
-                "slots": SLOTS,
-                "state": "ready",
-            }
-        for revision, (key, value) in enumerate(items.items(), 1):
-            record = StoreRecord(
-                key=key, value=json.dumps(value).encode(), revision=revision
-            )
-            self.state.apply_changes([record], revision=revision, source="store")
+            self.add_target(f"i-{number}")
+
+    def add_target(self, name: str) -> None:
+        """Register a target with `SLOTS` slots."""
+        entry = {
+            "service": "p",
+            "address": f"10.0.0.{name.removeprefix('i-')}:80",
+            "slots": SLOTS,
+            "state": "ready",
+        }
+        self._put(f"servers/{name}", entry)
+
+    def _put(self, key: str, value: dict[str, Any]) -> None:
+        revision = self.state.catalogue.revision + 1
+        record = StoreRecord(
+            key=key, value=json.dumps(value).encode(), revision=revision
+        )
+        self.state.apply_changes([record], revision=revision, source="store")
 
     def make_call(
         self, path: str, *, body: bytes = b"{}", headers: dict[str, str] | None = None
--- a/tests/components/gateway/test_gateway.py
+++ b/tests/components/gateway/test_gateway.py
@@ -53,8 +53,11 @@
     return False
 
 
-async def reject(_request: ReceivedRequest, stream: trio.SocketStream) -> bool:
-    headers = {"Pistachiohaven-Not-Executed": "1"}
+async def reject(request: ReceivedRequest, stream: trio.SocketStream) -> bool:
+    headers = {
+        "Pistachiohaven-Attempt-Id": request.attempt_id,
+        "Pistachiohaven-Not-Executed": "1",
+    }
     await stream.send_all(encode_response(503, b"", headers))
     return True
 
--- a/tests/components/gateway/test_histories.py
+++ b/tests/components/gateway/test_histories.py
@@ -139,7 +139,10 @@
         }
         if fault in {"rejected", "misdirected"}:
             status = 503 if fault == "rejected" else 421
-            rejection_headers = {"pistachiohaven-not-executed": "1"}
+            rejection_headers = {
+                "pistachiohaven-attempt-id": headers["pistachiohaven-attempt-id"],
+                "pistachiohaven-not-executed": "1",
+            }
             self._output = [encode_response(status, b"", rejection_headers)]
             return
         self.scenario.run_count += 1
