Send nothing but events to a stream that has begun

Callers: the error text of the next target, or its whole head, in the middle of a stream that had broken off, or a stream that ended as if it were complete. Cause: a resumed stream took each response of the next target but 5xx and refusals for its own end: 3xx and 4xx were sent with a second head; another content type, a status without content, and a body without events or a known end ended the stream as complete. Change: once a response has begun, it goes on only with a stream of the same status and content type; all else is a failed dispatch, after which the stream is resumed elsewhere or cut. Without any event, only a known end shows that it was complete. Evidence: six of nine cases of test_errors_within_streams failed before; three cases show that streams still go on, also where one broke off after its last event. Measured: tests of resumed, unframed and cut streams pass.

--- a/pistachiohaven/components/gateway/_dispatch.py
+++ b/pistachiohaven/components/gateway/_dispatch.py
@@ -51,6 +51,13 @@
     def last_event_id(self) -> int | None:
         """Return the id of the last event sent to the caller."""
 
+    @property
+    def is_started(self) -> bool:
+        """Return True if the head of a response has been sent."""
+
+    def continues_with(self, status: int, headers: Headers) -> bool:
+        """Return True if a response with this head may go on with the one begun."""
+
     async def start_response(self, status: int, headers: Headers) -> None:
         """Send status and headers; later calls have no effect."""
 
@@ -327,7 +334,11 @@
                 detail=f"status {head.status}",
                 has_responded=True,
             )
-        if head.status in SERVER_ERROR_STATUSES or head.status in NOT_RUN_STATUSES:
+        if (
+            head.status in SERVER_ERROR_STATUSES
+            or head.status in NOT_RUN_STATUSES
+            or self._sink.is_started
+        ):
             return FailedDispatch(
                 failure=Failure.FAILED,
                 detail=f"status {head.status}",
@@ -340,6 +351,13 @@
         self, connection: Connection, head: ResponseHead
     ) -> DispatchResult:
         """Forward a stream to the caller, complete events only."""
+        is_continuation = self._sink.is_started
+        if is_continuation and not self._sink.continues_with(head.status, head.headers):
+            return FailedDispatch(
+                failure=Failure.FAILED,
+                detail="answer of another kind",
+                has_responded=True,
+            )
         await self._sink.start_response(
             head.status, platform.response_headers(head.headers)
         )
@@ -382,6 +400,10 @@
             return FailedDispatch(
                 failure=Failure.BROKEN, detail="cut within an event", is_cut=True
             )
+        if is_continuation and not self._event_count and not head.has_known_end:
+            return FailedDispatch(
+                failure=Failure.BROKEN, detail="no event and no known end", is_cut=True
+            )
         await self._release_connection(connection, head)
         return CompletedStream(has_known_end=head.has_known_end)
 
--- a/pistachiohaven/components/gateway/_response.py
+++ b/pistachiohaven/components/gateway/_response.py
@@ -40,6 +40,7 @@
         self.head_sent_ms: int | None = None
         self.first_byte_at_ms: int | None = None
         self.status = 0
+        self._content_type = b""
         self.is_complete = False
 
     @property
@@ -52,6 +53,13 @@
         """Return the id of the last event sent."""
         return self._last_event_id
 
+    def continues_with(self, status: int, headers: Headers) -> bool:
+        """Return True if a response with this head may go on with the one begun.
+
+        Both must have the same status and content type.
+        """
+        return (status, _content_type(headers)) == (self.status, self._content_type)
+
     def close_connection(self) -> None:
         """Ask the caller to close the connection after this response."""
         self._is_closing = True
@@ -106,6 +114,7 @@
         if self._is_closing or self._is_draining():
             headers = [*headers, (b"connection", b"close")]
         self.status = status
+        self._content_type = _content_type(headers)
         self.head_sent_ms = self._clock.now_ms()
         await self._send_shielded(
             {"type": "http.response.start", "status": status, "headers": headers}
@@ -132,3 +141,11 @@
     def _record_first_byte(self) -> None:
         if self.first_byte_at_ms is None:
             self.first_byte_at_ms = self._clock.now_ms()
+
+
+def _content_type(headers: Headers) -> bytes:
+    """Return the media type of a response, empty without one."""
+    for name, value in headers:
+        if name == b"content-type":
+            return value.partition(b";")[0].strip().lower()
+    return b""
