Name the quarantine after what it holds, and share a test's recorded response

Cause: parts and requests are evidence under keys of one table, whose names spoke of parts only; the response recorder of the scripted targets was a copy of that of the histories. Change: CrashQuarantine, CrashEvidence and key instead of PartQuarantine, PartReport and part; messages keep their fields. One recorder. Measured: 82 tests of the quarantine, crashing requests, histories and where pass.

--- a/pistachiohaven/components/gateway/_crashes.py
+++ b/pistachiohaven/components/gateway/_crashes.py
@@ -17,11 +17,11 @@
 from pistachiohaven.components.placement import TargetLoad
 from pistachiohaven.components.quarantine import (
     CrashContext,
+    CrashEvidence,
     CrashExplanations,
+    CrashQuarantine,
     Explanation,
     IsCold,
-    PartQuarantine,
-    PartReport,
     Quarantine,
     TargetCrash,
     TargetPlace,
@@ -89,7 +89,7 @@
     def __init__(
         self,
         *,
-        quarantine: PartQuarantine,
+        quarantine: CrashQuarantine,
         exchange: Exchange,
         clock: Clock,
         log: ComponentLogger,
@@ -308,7 +308,7 @@
         for quarantine in begun:
             self._log.info(
                 quarantine_reason(quarantine),
-                key=format_key(quarantine.part),
+                key=format_key(quarantine.key),
                 crashes=quarantine.crashes,
                 age_ms=now_ms - quarantine.last_crash_ms,
                 for_ms=quarantine.until_ms - now_ms,
@@ -318,7 +318,7 @@
 
 def quarantine_reason(quarantine: Quarantine) -> Reason:
     """Return the reason for which requests are refused by `quarantine`."""
-    if is_request_key(quarantine.part):
+    if is_request_key(quarantine.key):
         return Reason.REQUEST_QUARANTINED
     return Reason.PART_QUARANTINED
 
@@ -328,10 +328,10 @@
     return f"{key:08x}"
 
 
-def encode_report(report: PartReport) -> PartCrashReport:
+def encode_report(report: CrashEvidence) -> PartCrashReport:
     """Return the form of `report` in messages."""
     return PartCrashReport(
-        part=report.part,
+        part=report.key,
         proven_age_ms=report.proven_age_ms,
         crashes=tuple(
             CrashReport(
@@ -342,10 +342,10 @@
     )
 
 
-def decode_report(report: PartCrashReport) -> PartReport:
+def decode_report(report: PartCrashReport) -> CrashEvidence:
     """Return the report in a message."""
-    return PartReport(
-        part=report.part,
+    return CrashEvidence(
+        key=report.part,
         proven_age_ms=report.proven_age_ms,
         crashes=tuple(
             TargetCrash(
--- a/pistachiohaven/components/gateway/_request.py
+++ b/pistachiohaven/components/gateway/_request.py
@@ -203,7 +203,7 @@
             request_id=self._call.head.attempt_id,
             reason=reason,
             route=self._call.route.name,
-            key=format_key(quarantine.part),
+            key=format_key(quarantine.key),
             crashes=quarantine.crashes,
             age_ms=now_ms - quarantine.last_crash_ms,
             source=quarantine.source,
--- a/pistachiohaven/components/gateway/_state.py
+++ b/pistachiohaven/components/gateway/_state.py
@@ -37,7 +37,7 @@
 )
 from pistachiohaven.components.origin import StreamOrigins
 from pistachiohaven.components.placement import Scheduler, TargetLoad
-from pistachiohaven.components.quarantine import PartQuarantine
+from pistachiohaven.components.quarantine import CrashQuarantine
 from pistachiohaven.components.quota import QuotaLedger, QuotaTolerance
 from pistachiohaven.components.rate_limit import LimitChange, LimitReport, RateLimits
 from pistachiohaven.components.retry import RetryTerms, WindowBudget
@@ -131,7 +131,7 @@
             clock=clock,
             metrics=self.metrics,
         )
-        self.quarantine = PartQuarantine()
+        self.quarantine = CrashQuarantine()
         self.crash_checks = CrashChecks()
         self.crash_link = CrashLink(
             quarantine=self.quarantine,
--- a/pistachiohaven/components/gateway/_where.py
+++ b/pistachiohaven/components/gateway/_where.py
@@ -224,7 +224,7 @@
     return {
         "reason": Reason.PART_QUARANTINED,
         "retry_after_ms": quarantine.until_ms - now_ms,
-        "detail": f"part {format_key(quarantine.part)}, {quarantine.crashes} crashes,"
+        "detail": f"part {format_key(quarantine.key)}, {quarantine.crashes} crashes,"
         f" the last {now_ms - quarantine.last_crash_ms} ms ago",
     }
 
--- a/pistachiohaven/components/quarantine/__init__.py
+++ b/pistachiohaven/components/quarantine/__init__.py
@@ -1,6 +1,6 @@
 """Quarantine of prompt parts with which requests crash targets."""
 
-from ._core import PartQuarantine, PartReport, Quarantine, TargetCrash
+from ._core import CrashEvidence, CrashQuarantine, Quarantine, TargetCrash
 from ._explanations import (
     CrashContext,
     CrashExplanations,
@@ -16,11 +16,11 @@
     "MAX_ACCUSED_PARTS",
     "PROOF_AGE_MS",
     "CrashContext",
+    "CrashEvidence",
     "CrashExplanations",
+    "CrashQuarantine",
     "Explanation",
     "IsCold",
-    "PartQuarantine",
-    "PartReport",
     "Quarantine",
     "TargetCrash",
     "TargetPlace",
--- a/pistachiohaven/components/quarantine/_core.py
+++ b/pistachiohaven/components/quarantine/_core.py
@@ -44,27 +44,27 @@
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
-class PartReport:
+class CrashEvidence:
     """What is known of one part or request, to be passed on to peers.
 
-    `part` is its key. `proven_age_ms` is the age of the newest response that proves
+    `key` is its key. `proven_age_ms` is the age of the newest response that proves
     it to be sound, None if none is known.
     """
 
-    part: int
+    key: int
     proven_age_ms: int | None
     crashes: tuple[TargetCrash, ...]
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
 class Quarantine:
-    """Quarantine of the part or request `part` until `until_ms`, after `crashes`.
+    """Quarantine of the part or request `key` until `until_ms`, after `crashes`.
 
     `last_crash_ms` and `until_ms` are monotonic times. `source` is "own" or the name of
     the peer from which the last crash is known.
     """
 
-    part: int
+    key: int
     crashes: int
     last_crash_ms: int
     until_ms: int
@@ -100,7 +100,7 @@
 
 
 @dataclass(slots=True, kw_only=True)
-class _Part:
+class _Evidence:
     """Crashes by hash of the target since the last proof.
 
     `changed_ms` is when this entry last learnt something. `was_quarantined` is True
@@ -117,7 +117,7 @@
 SOURCE_OWN = "own"
 
 
-class PartQuarantine:
+class CrashQuarantine:
     """Parts of prompts, and requests, that crash the targets which respond to them.
 
     A request that crashes its target looks like all others that the target served at
@@ -132,47 +132,47 @@
     in many crashes of any cause: it takes more crashes than its share of the requests
     makes likely. A group of targets that crash together has a cause of its own.
 
-    A request that comes again has the same key in each attempt. It is evidence like a
-    part that no other request has: the requests that were on the same target by chance
-    complete elsewhere, which proves them. Proofs of a request are kept only if it has
-    crashes, since most requests never come again.
+    What holds for a part also holds for a request that comes again: it has the same key
+    in each attempt, and no other request shares it. The requests that were on the same
+    target by chance complete elsewhere, which proves them. Proofs of a request are kept
+    only if it has crashes, since most requests never come again.
 
     Parts are known by hashes of their ids, requests by their keys. Times are monotonic
     milliseconds and never decrease from one call to the next.
     """
 
     def __init__(self) -> None:
-        self._parts: dict[int, _Part] = {}
+        self._evidence: dict[int, _Evidence] = {}
         self._proven_ms: OrderedDict[int, int] = OrderedDict()
         self._seen = SeenCrashes()
         self._shares = PartShares()
 
     def __len__(self) -> int:
         """Return the number of parts with crashes."""
-        return len(self._parts)
+        return len(self._evidence)
 
-    def find(self, parts: Iterable[int], *, now_ms: int) -> Quarantine | None:
-        """Return the quarantine of one of `parts`, or None."""
-        for part in parts:
-            known = self._parts.get(part)
+    def find(self, keys: Iterable[int], *, now_ms: int) -> Quarantine | None:
+        """Return the quarantine of one of `keys`, or None."""
+        for key in keys:
+            known = self._evidence.get(key)
             if known is None:
                 continue
-            quarantine = self._quarantine(part, known)
+            quarantine = self._quarantine(key, known)
             if quarantine is not None and now_ms < quarantine.until_ms:
                 return quarantine
         return None
 
     def has_crashes(self, key: int) -> bool:
         """Return True if a part or request has crashes since its last proof."""
-        known = self._parts.get(key)
+        known = self._evidence.get(key)
         return known is not None and bool(known.crashes)
 
-    def may_repeat(self, parts: Iterable[int]) -> bool:
+    def may_repeat(self, keys: Iterable[int]) -> bool:
         """Return True if a request whose target crashed may be sent to another one.
 
         That is not so if another crash would put one of its parts in quarantine.
         """
-        return not any(self._is_suspect(part) for part in parts)
+        return not any(self._is_suspect(key) for key in keys)
 
     def record_dispatch(self, parts: Iterable[int], *, now_ms: int) -> None:
         """Record that a request with `parts` was sent to a target."""
@@ -206,7 +206,7 @@
         return bool(self._seen.group_of(target))
 
     def record_crash(
-        self, parts: Sequence[int], *, target: int, is_repeat: bool, now_ms: int
+        self, keys: Sequence[int], *, target: int, is_repeat: bool, now_ms: int
     ) -> CrashChange:
         """Record the crash of a target that had just begun to respond.
 
@@ -214,38 +214,36 @@
         """
         begun: list[Quarantine] = []
         suspects: list[int] = []
-        for part in parts:
-            known = self._parts.get(part)
+        for key in keys:
+            known = self._evidence.get(key)
             if known is not None and target in known.crashes:
                 continue
             # One request on two targets that crash at one moment is a coincidence.
             crash = _Crash(
                 at_ms=now_ms,
-                is_repeat=is_repeat or is_request_key(part),
+                is_repeat=is_repeat or is_request_key(key),
                 source=SOURCE_OWN,
             )
-            quarantine = self._add_crash(part, target, crash, now_ms=now_ms)
+            quarantine = self._add_crash(key, target, crash, now_ms=now_ms)
             if quarantine is not None:
                 begun.append(quarantine)
-            if self._is_suspect(part):
-                suspects.append(part)
+            if self._is_suspect(key):
+                suspects.append(key)
         return CrashChange(begun=begun, suspects=suspects)
 
-    def record_proof(self, parts: Iterable[int], *, now_ms: int) -> ProofChange:
-        """Record a response that proves `parts` to be sound."""
-        suspects = [part for part in parts if self._is_suspect(part)]
-        released = [
-            part for part in parts if self._add_proof(part, now_ms, now_ms=now_ms)
-        ]
+    def record_proof(self, keys: Iterable[int], *, now_ms: int) -> ProofChange:
+        """Record a response that proves `keys` to be sound."""
+        suspects = [key for key in keys if self._is_suspect(key)]
+        released = [key for key in keys if self._add_proof(key, now_ms, now_ms=now_ms)]
         return ProofChange(released=released, suspects=suspects)
 
     def apply_report(
-        self, report: PartReport, *, peer: str, now_ms: int
+        self, report: CrashEvidence, *, peer: str, now_ms: int
     ) -> list[Quarantine]:
         """Record what `peer` passed on; return a quarantine that begins."""
         if report.proven_age_ms is not None:
             proven_ms = now_ms - max(report.proven_age_ms, 0)
-            self._add_proof(report.part, proven_ms, now_ms=now_ms)
+            self._add_proof(report.key, proven_ms, now_ms=now_ms)
         begun: list[Quarantine] = []
         for reported in report.crashes[:MAX_CRASHES]:
             crash = _Crash(
@@ -254,29 +252,29 @@
                 source=peer,
             )
             quarantine = self._add_crash(
-                report.part, reported.target, crash, now_ms=now_ms
+                report.key, reported.target, crash, now_ms=now_ms
             )
             if quarantine is not None:
                 begun.append(quarantine)
         return begun
 
-    def has_newer_proof(self, report: PartReport, *, now_ms: int) -> bool:
+    def has_newer_proof(self, report: CrashEvidence, *, now_ms: int) -> bool:
         """Return True if the sender of `report` lacks a proof that is known here."""
-        proven_ms = self._proven_ms.get(report.part)
+        proven_ms = self._proven_ms.get(report.key)
         if proven_ms is None or now_ms - proven_ms >= PROOF_TTL_MS:
             return False
         return report.proven_age_ms is None or report.proven_age_ms >= PROOF_TTL_MS
 
-    def is_suspect(self, part: int) -> bool:
-        """Return True if one more crash would put `part` in quarantine."""
-        return self._is_suspect(part)
+    def is_suspect(self, key: int) -> bool:
+        """Return True if one more crash would put `key` in quarantine."""
+        return self._is_suspect(key)
 
-    def report(self, part: int, *, now_ms: int) -> PartReport:
-        """Return what is known of `part`."""
-        known = self._parts.get(part, _Part())
-        proven_ms = self._proven_ms.get(part)
-        return PartReport(
-            part=part,
+    def report(self, key: int, *, now_ms: int) -> CrashEvidence:
+        """Return what is known of `key`."""
+        known = self._evidence.get(key, _Evidence())
+        proven_ms = self._proven_ms.get(key)
+        return CrashEvidence(
+            key=key,
             proven_age_ms=None if proven_ms is None else now_ms - proven_ms,
             crashes=tuple(
                 TargetCrash(
@@ -288,7 +286,7 @@
             ),
         )
 
-    def reports(self, *, changed_only: bool, now_ms: int) -> list[PartReport]:
+    def reports(self, *, changed_only: bool, now_ms: int) -> list[CrashEvidence]:
         """Return what is known of all parts, or only of those that changed lately.
 
         At most `MAX_REPORTS` or `MAX_CHANGE_REPORTS`: parts with most crashes first,
@@ -296,39 +294,39 @@
         crash, are left out.
         """
         max_age_ms = CHANGE_REPORT_MS if changed_only else REPORT_AGE_MS
-        max_parts = MAX_CHANGE_REPORTS if changed_only else MAX_REPORTS
-        parts = [
-            part
-            for part, known in self._parts.items()
+        max_keys = MAX_CHANGE_REPORTS if changed_only else MAX_REPORTS
+        keys = [
+            key
+            for key, known in self._evidence.items()
             if (
                 known.was_passed_on
-                or self._min_crashes(part, known) - _count_separate(known) < MIN_CRASHES
+                or self._min_crashes(key, known) - _count_separate(known) < MIN_CRASHES
             )
-            and not self._is_held(part, known, now_ms=now_ms)
+            and not self._is_held(key, known, now_ms=now_ms)
             and (
                 now_ms - known.changed_ms < max_age_ms
-                or (not changed_only and self.find([part], now_ms=now_ms) is not None)
+                or (not changed_only and self.find([key], now_ms=now_ms) is not None)
             )
         ]
-        parts.sort(key=self._retention_order, reverse=True)
-        for part in parts[:max_parts]:
-            self._parts[part].was_passed_on = True
-        return [self.report(part, now_ms=now_ms) for part in parts[:max_parts]]
+        keys.sort(key=self._retention_order, reverse=True)
+        for key in keys[:max_keys]:
+            self._evidence[key].was_passed_on = True
+        return [self.report(key, now_ms=now_ms) for key in keys[:max_keys]]
 
     def _add_crash(
-        self, part: int, target: int, crash: _Crash, *, now_ms: int
+        self, key: int, target: int, crash: _Crash, *, now_ms: int
     ) -> Quarantine | None:
         """Add a crash unless it is known or before a response.
 
         Return the quarantine if it begins with this crash.
         """
-        known = self._parts.get(part)
+        known = self._evidence.get(key)
         if known is None:
-            known = self._parts[part] = _Part(changed_ms=now_ms)
-            self._forget(keep=part, now_ms=now_ms)
+            known = self._evidence[key] = _Evidence(changed_ms=now_ms)
+            self._forget(keep=key, now_ms=now_ms)
         if target in known.crashes:
             return None
-        if crash.at_ms <= self._proven_ms.get(part, crash.at_ms - 1):
+        if crash.at_ms <= self._proven_ms.get(key, crash.at_ms - 1):
             return None
         known.crashes[target] = crash
         self._seen.add(target, at_ms=crash.at_ms, now_ms=now_ms)
@@ -338,26 +336,26 @@
             if oldest == target:
                 return None
         known.changed_ms = now_ms
-        quarantine = self._quarantine(part, known)
+        quarantine = self._quarantine(key, known)
         if quarantine is None or known.was_quarantined:
             return None
         known.was_quarantined = True
         return quarantine
 
-    def _add_proof(self, part: int, proven_ms: int, *, now_ms: int) -> bool:
+    def _add_proof(self, key: int, proven_ms: int, *, now_ms: int) -> bool:
         """Add a proof, and drop the crashes before; return True if a quarantine ends.
 
         A proof that some gateway may need is passed on: that of a part with crashes.
         """
-        if proven_ms <= self._proven_ms.get(part, proven_ms - 1):
+        if proven_ms <= self._proven_ms.get(key, proven_ms - 1):
             return False
-        if is_request_key(part) and part not in self._parts:
+        if is_request_key(key) and key not in self._evidence:
             return False
-        self._proven_ms[part] = proven_ms
-        self._proven_ms.move_to_end(part)
+        self._proven_ms[key] = proven_ms
+        self._proven_ms.move_to_end(key)
         if len(self._proven_ms) > MAX_PROVEN_PARTS:
             self._proven_ms.popitem(last=False)
-        known = self._parts.get(part)
+        known = self._evidence.get(key)
         if known is None:
             return False
         kept = {
@@ -373,27 +371,27 @@
         known.changed_ms = now_ms
         if not known.was_quarantined:
             return False
-        known.was_quarantined = self._quarantine(part, known) is not None
+        known.was_quarantined = self._quarantine(key, known) is not None
         return not known.was_quarantined
 
-    def _is_held(self, part: int, known: _Part, *, now_ms: int) -> bool:
+    def _is_held(self, key: int, known: _Evidence, *, now_ms: int) -> bool:
         """Return True if a request may still prove that its only crash was chance."""
         return (
-            is_request_key(part)
+            is_request_key(key)
             and len(known.crashes) == 1
             and now_ms - known.changed_ms < REQUEST_HOLD_MS
         )
 
-    def _is_suspect(self, part: int) -> bool:
-        """Return True if one more crash would put `part` in quarantine."""
-        known = self._parts.get(part)
+    def _is_suspect(self, key: int) -> bool:
+        """Return True if one more crash would put `key` in quarantine."""
+        known = self._evidence.get(key)
         if known is None:
             return False
-        return _count_separate(known) >= self._min_crashes(part, known) - 1
+        return _count_separate(known) >= self._min_crashes(key, known) - 1
 
-    def _min_crashes(self, part: int, known: _Part) -> int:
-        """Return the number of crashes that put `part` in quarantine."""
-        proven_ms = self._proven_ms.get(part)
+    def _min_crashes(self, key: int, known: _Evidence) -> int:
+        """Return the number of crashes that put `key` in quarantine."""
+        proven_ms = self._proven_ms.get(key)
         if proven_ms is None or not known.crashes:
             return MIN_CRASHES
         first_ms = min(crash.at_ms for crash in known.crashes.values())
@@ -401,50 +399,50 @@
             return MIN_CRASHES
         return MIN_CRASHES_OF_PROVEN
 
-    def _quarantine(self, part: int, known: _Part) -> Quarantine | None:
+    def _quarantine(self, key: int, known: _Evidence) -> Quarantine | None:
         """Return the quarantine that follows from the crashes, which may have ended."""
         if _count_separate(known) < MIN_CRASHES:
             return None
-        counted = self._without_groups(part, known)
+        counted = self._without_groups(key, known)
         count = _count_separate(counted)
-        surplus = count - self._min_crashes(part, counted)
-        if surplus < 0 or self._is_chance(part, counted, count=count):
+        surplus = count - self._min_crashes(key, counted)
+        if surplus < 0 or self._is_chance(key, counted, count=count):
             return None
         last = max(counted.crashes.values(), key=lambda crash: crash.at_ms)
-        first_ms = REQUEST_QUARANTINE_MS if is_request_key(part) else QUARANTINE_MS
+        first_ms = REQUEST_QUARANTINE_MS if is_request_key(key) else QUARANTINE_MS
         return Quarantine(
-            part=part,
+            key=key,
             crashes=count,
             last_crash_ms=last.at_ms,
             until_ms=last.at_ms + min(first_ms << surplus, MAX_QUARANTINE_MS),
             source=last.source,
         )
 
-    def _without_groups(self, part: int, known: _Part) -> _Part:
+    def _without_groups(self, key: int, known: _Evidence) -> _Evidence:
         """Return `known` without crashes of groups that the part doesn't explain.
 
         It may explain a group if most crashes in it were during requests with the part,
         and no response has proven it to be sound.
         """
-        is_proven = self._min_crashes(part, known) == MIN_CRASHES_OF_PROVEN
+        is_proven = self._min_crashes(key, known) == MIN_CRASHES_OF_PROVEN
         kept = {}
         for target, crash in known.crashes.items():
             group = self._seen.group_of(target)
             without = sum(each not in known.crashes for each in group)
             if not group or not (is_proven or 2 * without >= len(group)):
                 kept[target] = crash
-        return _Part(crashes=kept)
+        return _Evidence(crashes=kept)
 
-    def _is_chance(self, part: int, counted: _Part, *, count: int) -> bool:
+    def _is_chance(self, key: int, counted: _Evidence, *, count: int) -> bool:
         """Return True if a sound part would be in these crashes as well.
 
         All requests on the target of a crash count, if the part is proven. One that was
         never proven is expected in the share of the crashes that it has of requests.
         """
-        share = self._shares.share(part)
+        share = self._shares.share(key)
         if share is None:
             return False
-        is_proven = self._min_crashes(part, counted) == MIN_CRASHES_OF_PROVEN
+        is_proven = self._min_crashes(key, counted) == MIN_CRASHES_OF_PROVEN
         if share >= NEARLY_ALL_SHARE:
             return is_proven or count < MIN_CRASHES_OF_PROVEN
         if not is_proven and count >= MAX_CRASHES_OF_UNPROVEN:
@@ -460,22 +458,22 @@
             share = 1.0 - (1.0 - share) ** per_crash
         return chance_of(count, of=count + without, share=share) > max_chance
 
-    def _retention_order(self, part: int) -> tuple[int, int]:
+    def _retention_order(self, key: int) -> tuple[int, int]:
         """Return the sort key of a part; those with lower keys are forgotten first."""
-        known = self._parts[part]
+        known = self._evidence[key]
         return _count_separate(known), known.changed_ms
 
     def _forget(self, *, keep: int, now_ms: int) -> None:
         """Forget old parts, and one beyond `MAX_PARTS`, but not `keep`."""
-        for part, known in list(self._parts.items()):
+        for key, known in list(self._evidence.items()):
             if now_ms - known.changed_ms >= MAX_QUARANTINE_MS:
-                del self._parts[part]
-        if len(self._parts) > MAX_PARTS:
-            others = (part for part in self._parts if part != keep)
-            del self._parts[min(others, key=self._retention_order)]
+                del self._evidence[key]
+        if len(self._evidence) > MAX_PARTS:
+            others = (key for key in self._evidence if key != keep)
+            del self._evidence[min(others, key=self._retention_order)]
 
 
-def _count_separate(known: _Part) -> int:
+def _count_separate(known: _Evidence) -> int:
     """Return the number of crashes that do not have a common moment."""
     count = 0
     counted_ms = None
--- a/tests/components/gateway/test_histories.py
+++ b/tests/components/gateway/test_histories.py
@@ -34,6 +34,7 @@
 from pistachiohaven.config import GatewaySettings
 from pistachiohaven.helpers import Clock
 
+from .scripted_targets import RecordedResponse
 from .stand_ins import encode_response, event_bytes, make_config
 
 EVENT_COUNT = 6
@@ -240,28 +241,6 @@
         return Ok(Connection(http=http, address=address, is_new=True))
 
 
-@dataclass(kw_only=True)
-class RecordedResponse:
-    """Response as received by the caller over ASGI."""
-
-    status: int = 0
-    headers: dict[bytes, bytes] = field(default_factory=dict)
-    body: bytes = b""
-    is_complete: bool = False
-
-    async def send(self, message: Any) -> None:
-        """Record one ASGI message."""
-        await trio.lowlevel.checkpoint()
-        if message["type"] == "http.response.start":
-            assert not self.status, "response head sent twice"
-            self.status = message["status"]
-            self.headers = dict(message["headers"])
-            return
-        assert not self.is_complete, "data sent after the end of the response"
-        self.body += message.get("body", b"")
-        self.is_complete = not message.get("more_body", False)
-
-
 def make_state(clock: Clock) -> GatewayState:
     settings = GatewaySettings(
         name="gateway",
--- a/tests/components/quarantine/crash_replay.py
+++ b/tests/components/quarantine/crash_replay.py
@@ -16,7 +16,7 @@
 from pistachiohaven.components.gateway._metrics import GatewayMetrics
 from pistachiohaven.components.notice import TargetNotices
 from pistachiohaven.components.placement import TargetLoad
-from pistachiohaven.components.quarantine import PartQuarantine
+from pistachiohaven.components.quarantine import CrashQuarantine
 from pistachiohaven.components.rate_limit import RateLimits
 from pistachiohaven.helpers import Clock, Ewma
 
@@ -59,7 +59,7 @@
         self._replay = replay
         self.name = name
         self.sent = 0
-        self.quarantine = PartQuarantine()
+        self.quarantine = CrashQuarantine()
         self.link = CrashLink(
             quarantine=self.quarantine,
             exchange=self,  # type: ignore[arg-type]
--- a/tests/components/quarantine/test_innocent_parts.py
+++ b/tests/components/quarantine/test_innocent_parts.py
@@ -9,8 +9,8 @@
 from pistachiohaven.components.quarantine import (
     CrashContext,
     CrashExplanations,
+    CrashQuarantine,
     Explanation,
-    PartQuarantine,
     TargetPlace,
 )
 from pistachiohaven.components.quarantine.const import (
@@ -154,7 +154,7 @@
 
 
 def test_part_of_most_requests_is_found_before_the_fifth_crash() -> None:
-    quarantine = PartQuarantine()
+    quarantine = CrashQuarantine()
     for number in range(MIN_SHARE_DISPATCHES):
         quarantine.record_dispatch([1] if number % 4 else [2], now_ms=0)
     for number in range(CRASHES_BEFORE_BOUND - 1):
@@ -164,7 +164,7 @@
 
 
 def test_part_of_nearly_all_requests_has_no_verdict_from_few_crashes() -> None:
-    quarantine = PartQuarantine()
+    quarantine = CrashQuarantine()
     for _ in range(MIN_SHARE_DISPATCHES):
         quarantine.record_dispatch([1], now_ms=0)
     for number in range(MIN_CRASHES):
--- a/tests/components/quarantine/test_requests.py
+++ b/tests/components/quarantine/test_requests.py
@@ -5,7 +5,7 @@
 import pytest
 
 from pistachiohaven.components.quarantine import (
-    PartQuarantine,
+    CrashQuarantine,
     is_request_key,
     request_key,
 )
@@ -39,7 +39,7 @@
     assert first != second
 
 
-def crash(quarantine: PartQuarantine, *, key: int = KEY, times: int = 1) -> None:
+def crash(quarantine: CrashQuarantine, *, key: int = KEY, times: int = 1) -> None:
     for number in range(times):
         quarantine.record_crash(
             [key], target=number + 1, is_repeat=False, now_ms=number * 300
@@ -48,7 +48,7 @@
 
 def test_a_request_is_in_quarantine_after_three_targets() -> None:
     """The targets end within 600 ms, as by a caller that repeats at once."""
-    quarantine = PartQuarantine()
+    quarantine = CrashQuarantine()
     crash(quarantine, times=MIN_CRASHES - 1)
     assert quarantine.find([KEY], now_ms=1_000) is None
     crash(quarantine, times=MIN_CRASHES)
@@ -59,7 +59,7 @@
 
 
 def test_a_complete_response_clears_a_request() -> None:
-    quarantine = PartQuarantine()
+    quarantine = CrashQuarantine()
     crash(quarantine, times=MIN_CRASHES - 1)
     quarantine.record_proof([KEY], now_ms=1_000)
     assert not quarantine.has_crashes(KEY)
@@ -69,7 +69,7 @@
 
 def test_proofs_of_requests_without_crashes_are_not_kept() -> None:
     """Otherwise they would push out those of the parts that requests share."""
-    quarantine = PartQuarantine()
+    quarantine = CrashQuarantine()
     quarantine.record_proof([7], now_ms=0)
     for number in range(10_000):
         quarantine.record_proof([KEY + number], now_ms=number)
@@ -79,17 +79,17 @@
 
 def test_the_first_crash_is_passed_on_unless_the_request_is_proven() -> None:
     """All requests on a crashed target are suspects; most are sound."""
-    quarantine = PartQuarantine()
+    quarantine = CrashQuarantine()
     quarantine.record_crash([KEY], target=1, is_repeat=False, now_ms=0)
     quarantine.record_crash([KEY + 1], target=1, is_repeat=False, now_ms=0)
     assert not quarantine.reports(changed_only=True, now_ms=REQUEST_HOLD_MS - 1)
     quarantine.record_proof([KEY + 1], now_ms=100)
     reports = quarantine.reports(changed_only=True, now_ms=REQUEST_HOLD_MS)
-    assert [report.part for report in reports] == [KEY]
+    assert [report.key for report in reports] == [KEY]
 
 
 def test_three_gateways_with_one_crash_each_conclude_together() -> None:
-    quarantines = [PartQuarantine() for _ in range(MIN_CRASHES)]
+    quarantines = [CrashQuarantine() for _ in range(MIN_CRASHES)]
     for number, quarantine in enumerate(quarantines):
         quarantine.record_crash([KEY], target=number, is_repeat=False, now_ms=0)
     for sender, receiver in pairwise(quarantines):
@@ -99,7 +99,7 @@
 
 
 def test_many_suspects_take_bounded_room_and_keep_the_worst() -> None:
-    quarantine = PartQuarantine()
+    quarantine = CrashQuarantine()
     crash(quarantine, times=MIN_CRASHES)
     for number in range(4 * MAX_PARTS):
         quarantine.record_crash(
