Answer a caller's body that can't be read with a clear error

Callers of the form with sidecars: a request with a deeply nested or badly encoded body ended without a response. Cause: as for odd entries of the store, only some of the exceptions of the decoder were caught. Evidence: two of five cases of test_caller_request failed before. Measured: its five cases pass.

--- a/pistachiohaven/components/entry/_caller_request.py
+++ b/pistachiohaven/components/entry/_caller_request.py
@@ -9,7 +9,7 @@
 from pistachiohaven.components.settings import Leaf, SettingsStore
 from pistachiohaven.components.web import HttpRequest
 from pistachiohaven.core import Reason, Work
-from pistachiohaven.helpers import stable_hash
+from pistachiohaven.helpers import decode_json, stable_hash
 
 from .const import (
     APPLICATION_HEADER,
@@ -133,10 +133,12 @@
         return Err(RequestError(reason=Reason.BODY_TOO_LARGE, message=message))
     completion = CompletionBody()
     if request.path in MODEL_PATHS:
-        try:
-            completion = msgspec.json.decode(body, type=CompletionBody)
-        except (msgspec.DecodeError, msgspec.ValidationError) as error:
-            return Err(RequestError(reason=Reason.BAD_REQUEST, message=str(error)))
+        decoded = decode_json(body, CompletionBody)
+        if isinstance(decoded, Err):
+            return Err(
+                RequestError(reason=Reason.BAD_REQUEST, message=decoded.err_value)
+            )
+        completion = decoded.ok_value
     work = _make_work(request, completion, leaf=leaf, key=key, request_id=request_id)
     return Ok(
         CallerRequest(
