--- a/pistachiohaven/platform/_targets.py
+++ b/pistachiohaven/platform/_targets.py
@@ -29,7 +29,7 @@
 
 
 MAX_SLOTS = 65_535
-"""Most requests that one target runs at once; an entry with more is odd."""
+"""Most requests that one target runs at once; an entry with more is malformed."""
 
 
 class _Entry(msgspec.Struct, kw_only=True, rename="camel"):
--- a/tests/platform/test_odd_entries.py
+++ b/tests/platform/test_malformed_entries.py
@@ -1,4 +1,4 @@
-"""One odd entry of another writer ended the gateways that read it.
+"""A malformed entry in the store ended the gateways that read it.
 
 Such an entry names no target to use, and the entries after it in the same list hold.
 """
@@ -28,7 +28,7 @@
 from ..components.gateway.stand_ins import make_config
 from ..components.gateway.test_state import make_state
 
-SOUND_ENTRY = {
+VALID_ENTRY = {
     "service": "p",
     "address": "10.0.0.1:80",
     "state": "ready",
@@ -38,7 +38,7 @@
 }
 NESTED = b"[" * 100_000 + b"]" * 100_000
 NESTED_MSGPACK = b"\x91" * 100_000 + b"\xc0"
-ODD_FIELDS: list[dict[str, object]] = [
+MALFORMED_FIELDS: list[dict[str, object]] = [
     {"address": "10.0.0.1:70000"},
     {"address": "10.0.0.1:0"},
     {"address": "10.0.0.1:-1"},
@@ -62,7 +62,7 @@
     {"state": "fine"},
     {"service": None},
 ]
-ODD_VALUES = [
+MALFORMED_VALUES = [
     b"",
     b"\xff\xfe",
     b'"\xff"',
@@ -70,26 +70,29 @@
     b"[]",
     b'{"service":"p"}',
     NESTED,
-    json.dumps(SOUND_ENTRY).encode()[:-1] + b',"more":' + NESTED + b"}",
-    json.dumps(SOUND_ENTRY).encode()[:-1] + b',"coldRemainingMs":1e999}',
-    *[json.dumps({**SOUND_ENTRY, **odd}).encode() for odd in ODD_FIELDS],
+    json.dumps(VALID_ENTRY).encode()[:-1] + b',"more":' + NESTED + b"}",
+    json.dumps(VALID_ENTRY).encode()[:-1] + b',"coldRemainingMs":1e999}',
+    *[
+        json.dumps({**VALID_ENTRY, **malformed}).encode()
+        for malformed in MALFORMED_FIELDS
+    ],
 ]
 
 
-def test_sound_entry_is_read() -> None:
-    value = json.dumps(SOUND_ENTRY).encode()
+def test_valid_entry_is_read() -> None:
+    value = json.dumps(VALID_ENTRY).encode()
     assert isinstance(platform.decode_target("servers/i-1", value), Ok)
 
 
-@pytest.mark.parametrize("value", ODD_VALUES, ids=lambda value: repr(value[:60]))
-def test_odd_entry_is_an_error(value: bytes) -> None:
+@pytest.mark.parametrize("value", MALFORMED_VALUES, ids=lambda value: repr(value[:60]))
+def test_malformed_entry_is_an_error(value: bytes) -> None:
     assert isinstance(platform.decode_target("servers/i-1", value), Err)
 
 
 @settings(derandomize=True, deadline=None)
 @given(
     st.dictionaries(
-        st.sampled_from([*SOUND_ENTRY, "zone", "version"]),
+        st.sampled_from([*VALID_ENTRY, "zone", "version"]),
         st.one_of(
             st.none(),
             st.booleans(),
@@ -101,7 +104,7 @@
     )
 )
 def test_no_entry_raises(fields: dict[str, object]) -> None:
-    value = json.dumps({**SOUND_ENTRY, **fields}).encode("utf-8", "surrogatepass")
+    value = json.dumps({**VALID_ENTRY, **fields}).encode("utf-8", "surrogatepass")
     platform.decode_target("servers/i-1", value)
 
 
@@ -116,11 +119,13 @@
     decode_store_response(value)
 
 
-@pytest.mark.parametrize("value", ODD_VALUES, ids=lambda value: repr(value[:60]))
+@pytest.mark.parametrize("value", MALFORMED_VALUES, ids=lambda value: repr(value[:60]))
 @pytest.mark.parametrize("key", ["servers/i-2", "op/config", "op/evacuate/z"])
-def test_odd_entry_stops_no_later_one_and_no_revision(key: str, value: bytes) -> None:
+def test_malformed_entry_stops_no_later_one_and_no_revision(
+    key: str, value: bytes
+) -> None:
     state = make_state([0.0])
-    sound = json.dumps(SOUND_ENTRY).encode()
+    sound = json.dumps(VALID_ENTRY).encode()
     config = json.dumps(make_config()).encode()
     state.apply_changes(
         [
@@ -136,9 +141,9 @@
     assert state.route_table is not None
 
 
-def test_odd_record_of_a_peer_stops_no_later_one() -> None:
+def test_malformed_record_of_a_peer_stops_no_later_one() -> None:
     state = make_state([0.0])
-    sound = json.dumps(SOUND_ENTRY).encode()
+    sound = json.dumps(VALID_ENTRY).encode()
     body = msgspec.msgpack.encode(
         PeerStoreResponse(
             revision=3,
@@ -188,12 +193,12 @@
     assert isinstance(decode(NESTED_MSGPACK), Err)
 
 
-def test_value_of_an_odd_item_reaches_its_decoder_only() -> None:
+def test_value_of_a_malformed_item_reaches_its_decoder_only() -> None:
     """The list that holds it is read to its end."""
-    odd = base64.b64encode(NESTED).decode()
-    sound = base64.b64encode(json.dumps(SOUND_ENTRY).encode()).decode()
+    malformed = base64.b64encode(NESTED).decode()
+    sound = base64.b64encode(json.dumps(VALID_ENTRY).encode()).decode()
     items = [
-        {"key": "servers/i-1", "revision": 4, "value": odd},
+        {"key": "servers/i-1", "revision": 4, "value": malformed},
         {"key": "servers/i-2", "revision": 5, "value": sound},
         {"key": "servers/i-3", "revision": 6, "value": "²"},
     ]
@@ -213,7 +218,7 @@
         "pistachiohaven-prompt-prefix",
     ],
 )
-def test_odd_number_of_a_caller_is_an_error(header: str, number: str) -> None:
+def test_malformed_number_of_a_caller_is_an_error(header: str, number: str) -> None:
     values = {
         "pistachiohaven-token-counts": f"{number},1",
         "pistachiohaven-prompt-prefix": f"a:{number}",
@@ -227,7 +232,7 @@
 
 
 @pytest.mark.parametrize("number", ["inf", "1e300", "1e400", "nan"])
-def test_odd_number_of_a_target_is_an_error(number: str) -> None:
+def test_malformed_number_of_a_target_is_an_error(number: str) -> None:
     """It is passed on to peers, whose messages hold 64 bits."""
     headers = [(b"pistachiohaven-cold-ms", number.encode())]
     assert isinstance(platform.decode_cold(headers), Err)
