Log how old the list of targets is when a stream is taken up

For the report of streams that went on at another version, the log told the source of a version, but not up to when the list behind it was complete.

--- a/pistachiohaven/components/gateway/_request.py
+++ b/pistachiohaven/components/gateway/_request.py
@@ -235,6 +235,7 @@
             resume_after=call.head.last_event_id,
             version=origin.version if origin else None,
             source=origin.source if origin else None,
+            list_age_ms=state.certain_age_ms(),
             waited_ms=state.clock.now_ms() - call.arrived_ms,
         )
         if origin is not None and origin.pool == short_hash(call.pool_name):
