Refuse requests that a leaving gateway can't expect to finish

What callers saw: requests that came late in the grace period of a planned stop were passed on and cut at its end, also some that may run once only.

Cause: whether there is time was looked up at the request's head, and acted on after its body, its wait for a slot and the connection to its target. The end of the grace period was known neither to the scheduler nor to targets, and it was counted from when the signal was handled.

Change: a request must have twice its expected run left when its slot is found and again just before it is sent; otherwise it is refused, and has not run. The end is the deadline of what waits and of what targets are told, and counts from the last but one turn of the event loop before the signal was handled.

--- a/pistachiohaven/components/gateway/_admit.py
+++ b/pistachiohaven/components/gateway/_admit.py
@@ -8,7 +8,7 @@
 from ._call import BAD_REQUEST, Call, RequestError, parse_call
 from ._request import UNAVAILABLE
 from ._state import GatewayState
-from .const import CONFIG_STALE_AFTER_MS, DRAIN_ACCEPT_MS
+from .const import CONFIG_STALE_AFTER_MS
 
 
 def admit_call(
@@ -19,8 +19,7 @@
     `split_fraction` (0 to 1) selects the pool where a route splits its traffic. Nothing
     is changed.
     """
-    draining_since_ms = state.draining_since_ms
-    if draining_since_ms is not None and now_ms - draining_since_ms >= DRAIN_ACCEPT_MS:
+    if not state.accepts_requests():
         return RequestError(status=UNAVAILABLE, reason=Reason.DRAINING)
     if state.route_table is None:
         return RequestError(status=UNAVAILABLE, reason=Reason.NO_SETTINGS)
--- a/pistachiohaven/components/gateway/_app.py
+++ b/pistachiohaven/components/gateway/_app.py
@@ -150,6 +150,13 @@
                 response, request_error, call.head.attempt_id, MIN_RETRY_AFTER_MS
             )
             return
+        if not state.accepts_requests():
+            # The body came while the gateway drained.
+            request_error = RequestError(status=UNAVAILABLE, reason=Reason.DRAINING)
+            await self._send_refusal(
+                response, request_error, call.head.attempt_id, MIN_RETRY_AFTER_MS
+            )
+            return
         handler = RequestHandler(
             state=state,
             pool=self._pool,
--- a/pistachiohaven/components/gateway/_daemon.py
+++ b/pistachiohaven/components/gateway/_daemon.py
@@ -2,7 +2,7 @@
 
 import signal
 import socket
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 
 import trio
 
@@ -79,9 +79,7 @@
     state = GatewayState(settings=bound.settings, clock=clock)
     pool = ConnectionPool(clock=clock)
     app = GatewayApp(state=state, pool=pool, log_lines=log_lines)
-    grace_s = settings.stop_grace_s - (DRAIN_ACCEPT_MS + DRAIN_MARGIN_MS) / MS_PER_S
-    options = ServerOptions(grace_s=max(grace_s, 0.0))
-    server = Server(listeners=bound.listeners, options=options)
+    server = Server(listeners=bound.listeners, options=_server_options(state))
     state.log.info(
         "started", name=settings.name, incarnation=state.incarnation, path=path
     )
@@ -93,8 +91,8 @@
         nursery.start_soon(PeerLink(state=state, sock=bound.exchange_socket).run)
         nursery.start_soon(state.placer.run)
         nursery.start_soon(state.stall_monitor.run)
-        nursery.start_soon(_apply_limits, state, server, options, pool)
-        nursery.start_soon(_stop_on_signal, state, app, stop_event)
+        nursery.start_soon(_apply_limits, state, server, pool)
+        nursery.start_soon(_stop_on_signal, state, app, server, stop_event)
         nursery.start_soon(_reload_on_signal, state, path)
         if log_lines is not None:
             nursery.start_soon(_flush_logs, log_lines)
@@ -107,7 +105,7 @@
 
 
 async def _stop_on_signal(
-    state: GatewayState, app: GatewayApp, stop_event: trio.Event
+    state: GatewayState, app: GatewayApp, server: Server, stop_event: trio.Event
 ) -> None:
     """Drain on SIGTERM or SIGINT.
 
@@ -116,12 +114,23 @@
     """
     with trio.open_signal_receiver(signal.SIGTERM, signal.SIGINT) as signals:
         async for signal_number in signals:
+            # A process that stood still handles the signal late, right after the turn
+            # of the event loop with which it goes on. So it came after the one before.
+            now_ms = state.clock.now_ms()
+            since_ms = state.placer.turn_before_ms
             grace_ms = int(state.settings.stop_grace_s * MS_PER_S)
-            end_ms = state.clock.now_ms() + grace_ms - DRAIN_MARGIN_MS
-            state.start_draining(end_ms=end_ms - DRAIN_RESPONSE_MS)
-            state.log.info("leaving", signal=signal_number, in_flight=app.in_flight)
+            end_ms = since_ms + grace_ms - DRAIN_MARGIN_MS
+            state.start_draining(since_ms=since_ms, end_ms=end_ms - DRAIN_RESPONSE_MS)
+            state.log.info(
+                "leaving",
+                signal=signal_number,
+                in_flight=app.in_flight,
+                late_ms=now_ms - since_ms,
+            )
             break
-        await trio.sleep(DRAIN_ACCEPT_MS / MS_PER_S)
+        accept_ms = max(since_ms + DRAIN_ACCEPT_MS - state.clock.now_ms(), 0)
+        await trio.sleep(accept_ms / MS_PER_S)
+        server.set_options(_server_options(state))
         stop_event.set()
         await trio.sleep_forever()
 
@@ -144,8 +153,27 @@
             state.log.info("settings_reloaded", changed=changed_fields)
 
 
+def _server_options(state: GatewayState) -> ServerOptions:
+    """Return the configured connection limits, and the time that is left to stop."""
+    if state.drain_end_ms is None:
+        grace_s = state.settings.stop_grace_s
+        grace_s -= (DRAIN_ACCEPT_MS + DRAIN_MARGIN_MS) / MS_PER_S
+    else:
+        exit_ms = state.drain_end_ms + DRAIN_RESPONSE_MS
+        grace_s = (exit_ms - state.clock.now_ms()) / MS_PER_S
+    options = ServerOptions(grace_s=max(grace_s, 0.0))
+    if state.route_table is None:
+        return options
+    limits = state.route_table.config.limits
+    return replace(
+        options,
+        keep_alive_s=limits.idle_timeout_ms / MS_PER_S,
+        max_header_bytes=limits.max_header_bytes,
+    )
+
+
 async def _apply_limits(
-    state: GatewayState, server: Server, options: ServerOptions, pool: ConnectionPool
+    state: GatewayState, server: Server, pool: ConnectionPool
 ) -> None:
     """Apply the configured connection limits periodically.
 
@@ -153,15 +181,7 @@
     close idle connections to removed targets.
     """
     while True:
-        if state.route_table is not None:
-            limits = state.route_table.config.limits
-            server.set_options(
-                ServerOptions(
-                    keep_alive_s=limits.idle_timeout_ms / MS_PER_S,
-                    grace_s=options.grace_s,
-                    max_header_bytes=limits.max_header_bytes,
-                )
-            )
+        server.set_options(_server_options(state))
         state.expire_targets()
         state.expire_evacuations()
         state.expire_cold_targets()
--- a/pistachiohaven/components/gateway/_dispatch.py
+++ b/pistachiohaven/components/gateway/_dispatch.py
@@ -147,6 +147,7 @@
         self._observe_notices = state.observe_notices
         self._observe_rate_limit = state.observe_rate_limit
         self._record_unreachable = state.record_unreachable
+        self._limit_deadline = state.limit_deadline
         self._stall_detector = StallDetector(
             request_id=call.head.attempt_id,
             load=load,
@@ -256,7 +257,7 @@
             call.headers,
             target_name=self._load.target.name,
             organisation=call.organisation.name if call.organisation else None,
-            remaining_ms=call.deadline_ms - now_ms,
+            remaining_ms=self._limit_deadline(call.deadline_ms) - now_ms,
             body_bytes=len(self._body),
             resume_after=self._sink.last_event_id,
         )
--- a/pistachiohaven/components/gateway/_placer.py
+++ b/pistachiohaven/components/gateway/_placer.py
@@ -14,7 +14,8 @@
 class Placer:
     """Queue of requests that wait for a decision of the scheduler.
 
-    `on_scheduled` is called after each run of the scheduler.
+    `on_scheduled` is called after each run of the scheduler. `turn_before_ms` is the
+    monotonic time of the last but one turn of the periodic run in the event loop.
     """
 
     def __init__(self, *, scheduler: Scheduler, clock: Clock) -> None:
@@ -23,6 +24,7 @@
         self._waiters: dict[Job, trio.Event] = {}
         self._decisions: dict[Job, Decision] = {}
         self.on_scheduled: Callable[[], None] | None = None
+        self.turn_before_ms = clock.now_ms()
 
     async def place(self, job: Job) -> Decision:
         """Wait until `job` gets a slot or is refused, and return the decision."""
@@ -56,7 +58,9 @@
 
     async def run(self) -> None:
         """Run the scheduler periodically, since some decisions depend on time alone."""
+        turn_ms = self._clock.now_ms()
         while True:
+            self.turn_before_ms, turn_ms = turn_ms, self._clock.now_ms()
             await trio.sleep(SCHEDULER_TICK_MS / MS_PER_S)
             if self.scheduler.waiting():
                 self.schedule_waiting()
--- a/pistachiohaven/components/gateway/_request.py
+++ b/pistachiohaven/components/gateway/_request.py
@@ -39,6 +39,7 @@
 from ._state import GatewayState
 from .const import (
     DEADLINE_MARGIN_MS,
+    DRAIN_RUN_FACTOR,
     MAX_EXTRA_REJECTIONS,
     MAX_RESUMPTION_PAUSE_MS,
     MIN_RESUMPTION_PAUSE_MS,
@@ -88,6 +89,7 @@
         self._hedged: HedgedDispatch | None = None
         self._is_dispatch_recorded = False
         self._result_target = ""
+        self._scope = trio.CancelScope()
         self.reason: Reason | None = None
         self.version: str | None = None
 
@@ -101,34 +103,48 @@
 
         Raises IncompleteResponseError if a started response can't be completed.
         """
-        call = self._call
-        wait_ms = await self._charge_quota()
+        state = self._state
+        self._limit_to(self._call.deadline_ms - DEADLINE_MARGIN_MS)
+        if state.drain_end_ms is not None:
+            self.end_by(state.drain_end_ms)
+        state.requests.add(self)
+        try:
+            wait_ms = await self._charge_quota()
+            if wait_ms is None:
+                await self._run_in_time()
+        finally:
+            state.requests.discard(self)
         if wait_ms is not None:
             self._log_over_quota(wait_ms)
             await self._send_refusal(TOO_MANY_REQUESTS, Reason.OVER_QUOTA, wait_ms)
-            return
-        now_ms = self._state.clock.now_ms()
-        self._state.retry_budget(call.pool_name).record_request(now_ms=now_ms)
-        deadline_ms = call.deadline_ms - DEADLINE_MARGIN_MS
-        if self._state.drain_end_ms is not None:
-            deadline_ms = min(deadline_ms, self._state.drain_end_ms)
-        remaining_ms = max(deadline_ms - now_ms, 0)
+
+    async def _run_in_time(self) -> None:
+        """Respond to the request by its deadline or the end of the grace period."""
+        call, state = self._call, self._state
+        state.retry_budget(call.pool_name).record_request(now_ms=state.clock.now_ms())
         try:
-            with trio.move_on_after(remaining_ms / MS_PER_S) as deadline_scope:
-                self._state.request_scopes.add(deadline_scope)
+            with self._scope:
                 await self._run_attempts()
         finally:
-            self._state.request_scopes.discard(deadline_scope)
             self._release_permits()
             self._refund_quota()
-        if deadline_scope.cancelled_caught:
-            is_late = (
-                self._state.clock.now_ms() >= call.deadline_ms - DEADLINE_MARGIN_MS
-            )
+        if self._scope.cancelled_caught:
+            is_late = state.clock.now_ms() >= call.deadline_ms - DEADLINE_MARGIN_MS
             await self._respond_without_target(
                 Reason.DEADLINE if is_late else Reason.DRAINING
             )
 
+    def end_by(self, end_ms: int) -> None:
+        """End the request by the monotonic time `end_ms`, also while it waits."""
+        self._limit_to(end_ms)
+        self._job.deadline_ms = min(self._job.deadline_ms, end_ms)
+        self._job.wait_limit_ms = min(self._job.wait_limit_ms, end_ms)
+
+    def _limit_to(self, end_ms: int) -> None:
+        left_ms = max(end_ms - self._state.clock.now_ms(), 0)
+        end_s = trio.current_time() + left_ms / MS_PER_S
+        self._scope.deadline = min(self._scope.deadline, end_s)
+
     @cached_property
     def _request_key(self) -> int:
         """Return the key of the request, the same for each of its attempts."""
@@ -157,14 +173,33 @@
             return
         await self._state.crash_link.wait_for_peers()
         while True:
-            if await self._refuse_quarantined():
+            placement = await self._place()
+            if placement is None:
                 return
-            decision = await self._state.placer.place(self._job)
+            self._log_placed(placement)
+            result = await self._dispatch(placement.target)
+            if isinstance(result, CompleteResponse):
+                await self._response.send_complete(result)
+                return
+            if isinstance(result, CompletedStream):
+                await self._response.end_stream()
+                return
+            if not await self._prepare_resend(result, self._result_target):
+                await self._respond_to_failure(result)
+                return
+
+    async def _place(self) -> Placement | None:
+        """Wait for a slot and return it, None if the request was refused instead."""
+        state = self._state
+        while True:
+            if await self._refuse_quarantined():
+                return None
+            decision = await state.placer.place(self._job)
             if isinstance(decision, Refusal):
                 self._log_refusal(decision)
-                reason = self._state.caller_reason(decision.reason)
+                reason = state.caller_reason(decision.reason)
                 await self._respond_without_target(reason, decision.retry_after_ms)
-                return
+                return None
             if self._response.has_caller_left():
                 self._release_slot(decision.target)
                 # The server reads the end of the connection next and cancels this.
@@ -172,17 +207,12 @@
             if self._find_quarantine() is not None:
                 self._release_slot(decision.target)
                 continue
-            self._log_placed(decision)
-            result = await self._dispatch(decision.target)
-            if isinstance(result, CompleteResponse):
-                await self._response.send_complete(result)
-                return
-            if isinstance(result, CompletedStream):
-                await self._response.end_stream()
-                return
-            if not await self._prepare_resend(result, self._result_target):
-                await self._respond_to_failure(result)
-                return
+            if self._is_too_late_for(state.scheduler.load(decision.target)):
+                self._release_slot(decision.target)
+                self._log_too_late(decision)
+                await self._respond_without_target(Reason.DRAINING)
+                return None
+            return decision
 
     def _find_quarantine(self) -> Quarantine | None:
         """Return the quarantine of the request or of a part of its prompt, or None."""
@@ -212,6 +242,18 @@
         await self._respond_without_target(reason, retry_after_ms)
         return True
 
+    def _is_too_late_for(self, load: TargetLoad | None) -> bool:
+        """Return True if this gateway leaves before the request is likely to end.
+
+        A response that has begun is lost either way, and its rest may be short.
+        """
+        end_ms = self._state.drain_end_ms
+        if load is None or end_ms is None or self._response.is_started:
+            return False
+        now_ms = self._state.clock.now_ms()
+        expected_ms = load.expected_ms(self._job, now_ms=now_ms)
+        return now_ms + DRAIN_RUN_FACTOR * expected_ms > end_ms
+
     def _release_slot(self, target: str) -> None:
         """Free the slot of a request that is not sent to `target`."""
         load = self._state.scheduler.load(target)
@@ -497,6 +539,8 @@
         """
         if self._find_quarantine() is not None:
             return "in quarantine"
+        if self._is_too_late_for(load):
+            return "draining"
         permit = self._hedge_permit if is_hedge else self._permit
         if permit is None:
             return None
@@ -640,6 +684,19 @@
             **self._quota_fields(),
         )
 
+    def _log_too_late(self, placement: Placement) -> None:
+        """Log that a request is refused since this gateway leaves before its end."""
+        state = self._state
+        now_ms = state.clock.now_ms()
+        state.log.info(
+            "refused",
+            request_id=self._call.head.attempt_id,
+            reason=Reason.DRAINING,
+            route=self._call.route.name,
+            expected_ms=round(placement.expected_ms),
+            left_ms=(state.drain_end_ms or now_ms) - now_ms,
+        )
+
     def _log_no_budget(self) -> None:
         """Log that a request is not repeated since the retry budget is used up."""
         self._state.log.info(
--- a/pistachiohaven/components/gateway/_state.py
+++ b/pistachiohaven/components/gateway/_state.py
@@ -2,8 +2,8 @@
 
 import random
 from collections.abc import Callable, Iterable
+from typing import Protocol
 
-import trio
 from result import Err
 
 from pistachiohaven import platform
@@ -53,7 +53,14 @@
 from ._origins import OriginLink
 from ._placer import Placer
 from ._stall import StallMonitor
-from .const import CONFIG_STALE_AFTER_MS
+from .const import CONFIG_STALE_AFTER_MS, DRAIN_ACCEPT_MS
+
+
+class LimitedRequest(Protocol):
+    """Request in progress whose time can be limited."""
+
+    def end_by(self, end_ms: int) -> None:
+        """End the request by the monotonic time `end_ms`."""
 
 
 class GatewayState:
@@ -62,8 +69,8 @@
     `last_store_response_ms`, `complete_until_ms` and `draining_since_ms` are monotonic
     times. The first two are None before the first response, the last until the gateway
     drains. All changes that the store confirmed before `complete_until_ms` are applied.
-    `request_scopes` are those of the requests in progress, which end at `drain_end_ms`
-    at the latest once the gateway drains.
+    `requests` are those in progress, which end at `drain_end_ms` at the latest once the
+    gateway drains.
     `removed_addresses` lists removed and leaving targets whose idle connections are
     still to be closed. `on_taken_back` is called with the name of each target of a data
     centre whose evacuation ended; by default it then counts as cold.
@@ -154,7 +161,7 @@
         self.certain_until_ms: int | None = None
         self.draining_since_ms: int | None = None
         self.drain_end_ms: int | None = None
-        self.request_scopes: set[trio.CancelScope] = set()
+        self.requests: set[LimitedRequest] = set()
         self.removed_addresses: list[str] = []
         self._retry_budgets: dict[str, WindowBudget] = {}
         self.hedge_policy = HedgePolicy(terms=_hedge_terms(settings))
@@ -184,14 +191,27 @@
         """Return True if this gateway is going to stop."""
         return self.draining_since_ms is not None
 
-    def start_draining(self, *, end_ms: int) -> None:
-        """Stop being ready; requests end at `end_ms` at the latest."""
-        now_ms = self.clock.now_ms()
-        self.draining_since_ms = now_ms
+    def start_draining(self, *, since_ms: int, end_ms: int) -> None:
+        """Stop being ready; requests end at `end_ms` at the latest.
+
+        `since_ms` is the earliest time at which the gateway can have been told.
+        """
+        self.draining_since_ms = since_ms
         self.drain_end_ms = end_ms
-        end_s = trio.current_time() + (end_ms - now_ms) / MS_PER_S
-        for scope in self.request_scopes:
-            scope.deadline = min(scope.deadline, end_s)
+        for request in self.requests:
+            request.end_by(end_ms)
+
+    def accepts_requests(self) -> bool:
+        """Return False once the gateway has drained for `DRAIN_ACCEPT_MS`."""
+        if self.draining_since_ms is None:
+            return True
+        return self.clock.now_ms() - self.draining_since_ms < DRAIN_ACCEPT_MS
+
+    def limit_deadline(self, deadline_ms: int) -> int:
+        """Return the deadline of a request, or `drain_end_ms` if that is earlier."""
+        if self.drain_end_ms is None:
+            return deadline_ms
+        return min(deadline_ms, self.drain_end_ms)
 
     def is_ready(self) -> bool:
         """Return True if this gateway can serve callers.
--- a/pistachiohaven/components/gateway/const.py
+++ b/pistachiohaven/components/gateway/const.py
@@ -98,6 +98,12 @@
 DRAIN_RESPONSE_MS: Final = 200
 """Time before the exit at which requests without a response are answered."""
 
+DRAIN_RUN_FACTOR: Final = 2.0
+"""Time that must be left to a request at a gateway that leaves, in expected runs.
+
+Runs vary, and a request that is cut may have run in vain.
+"""
+
 NO_CONFIG_RETRY_AFTER_MS: Final = 500
 """Retry time sent to callers before a first configuration has been read."""
 
