Take no success for whole that has neither a body nor a known end

What callers saw: a complete 200 with an empty body, after a target had ended right after the head of a response without a length.

Cause: such a body ends with the connection, and nothing was taken for one. The sidecar did the same, and the store's client took a 200 without a body for an absent configuration.

Change: it may have run, and counts as no answer at the gateway and as cut at the sidecar. Only 404 of the store means that a key does not exist.

--- a/pistachiohaven/components/gateway/_connections.py
+++ b/pistachiohaven/components/gateway/_connections.py
@@ -6,7 +6,7 @@
 import trio
 from result import Err, Ok, Result
 
-from pistachiohaven.components.web import MeteredBackend
+from pistachiohaven.components.web import MeteredBackend, has_known_end
 from pistachiohaven.const import MS_PER_S
 from pistachiohaven.helpers import Clock, parse_whole
 
@@ -47,22 +47,21 @@
 
 @dataclass(frozen=True, slots=True, kw_only=True)
 class ResponseHead:
-    """Status and headers of a response; header names are in lower case."""
+    """Status and headers of a response; header names are in lower case.
+
+    `may_have_body` is False for the response to a request for the head alone.
+    """
 
     status: int
     headers: Headers
     response: httpcore.Response
+    may_have_body: bool = True
 
     @property
     def has_known_end(self) -> bool:
-        """Return True if the body has a length or chunks.
-
-        Otherwise it ends with the connection, whatever ended that.
-        """
-        return any(
-            name in {b"content-length", b"transfer-encoding"}
-            for name, _ in self.headers
-        )
+        """Return True if the body has a length or chunks, or there can't be one."""
+        names = [name for name, _ in self.headers]
+        return not self.may_have_body or has_known_end(self.status, names)
 
 
 class ConnectionPool:
@@ -165,7 +164,10 @@
     response = await connection.http.handle_async_request(request)
     response_headers = [(name.lower(), value) for name, value in response.headers]
     return ResponseHead(
-        status=response.status, headers=response_headers, response=response
+        status=response.status,
+        headers=response_headers,
+        response=response,
+        may_have_body=method != "HEAD",
     )
 
 
--- a/pistachiohaven/components/gateway/_dispatch.py
+++ b/pistachiohaven/components/gateway/_dispatch.py
@@ -44,6 +44,13 @@
 """Failures after which it is certain that the target did not run the request."""
 
 
+NO_BODY = "no body and no known end"
+"""Detail of a success without anything that says that it is whole.
+
+A target that ends right after the head of a response of unknown length leaves the same.
+"""
+
+
 class StreamSink(Protocol):
     """Receiver of the events of a stream, on behalf of the caller."""
 
@@ -322,6 +329,8 @@
                     has_responded=True,
                 )
             chunks.append(chunk)
+        if head.status in SUCCESS_STATUSES and not chunks and not head.has_known_end:
+            return self._interrupted(NO_BODY, is_cut=True)
         await self._release_connection(connection, head)
         response = CompleteResponse(
             status=head.status,
@@ -401,10 +410,8 @@
             return FailedDispatch(
                 failure=Failure.BROKEN, detail="cut within an event", is_cut=True
             )
-        if is_continuation and not self._event_count and not head.has_known_end:
-            return FailedDispatch(
-                failure=Failure.BROKEN, detail="no event and no known end", is_cut=True
-            )
+        if not self._event_count and not head.has_known_end:
+            return self._interrupted(NO_BODY, is_cut=True)
         await self._release_connection(connection, head)
         return CompletedStream(has_known_end=head.has_known_end)
 
--- a/pistachiohaven/components/sidecar/_runner.py
+++ b/pistachiohaven/components/sidecar/_runner.py
@@ -14,7 +14,7 @@
     count_response_tokens,
     target_headers,
 )
-from pistachiohaven.components.web import call, iter_content
+from pistachiohaven.components.web import call, has_known_end, iter_content
 from pistachiohaven.const import MS_PER_S
 from pistachiohaven.core import Reason
 from pistachiohaven.helpers import Clock, ComponentLogger
@@ -197,13 +197,17 @@
                 status=target_response.status,
                 content_type=headers.get(b"content-type", b"application/json"),
             )
+            is_whole = has_known_end(target_response.status, headers)
             async for chunk in iter_content(target_response):
+                is_whole = True
                 if not tokens:
                     self._handle_first_byte(work.request_id)
                 tokens += count_response_tokens(self._target, chunk) or 1
                 response.append(chunk)
                 await response.wait_for_space()
-        self._handle_end(work.request_id, tokens=tokens, cut_reason=None)
+        # A target that ends right after a head without a length leaves the same.
+        cut_reason = None if is_whole else Reason.TARGET_FAILED
+        self._handle_end(work.request_id, tokens=tokens, cut_reason=cut_reason)
 
     def _handle_first_byte(self, request_id: str) -> None:
         now_ms = self._clock.now_ms()
--- a/pistachiohaven/components/web/_metered.py
+++ b/pistachiohaven/components/web/_metered.py
@@ -1,13 +1,14 @@
 """Limits on what a server may send in one response."""
 
 import ssl
-from collections.abc import AsyncIterator, Iterable
+from collections.abc import AsyncIterator, Collection, Iterable
 from typing import Any, Final
 
 import httpcore
 import trio
 
 from .const import (
+    BODILESS_STATUSES,
     HEAD_READ_BYTES,
     MAX_CONTENT_BYTES,
     MAX_FRAMING_BYTES,
@@ -32,6 +33,19 @@
     """The content of a response exceeds `MAX_CONTENT_BYTES`."""
 
 
+def has_known_end(status: int, names: Collection[bytes]) -> bool:
+    """Return True if the body of a response has a length or chunks, or there is none.
+
+    Otherwise it ends with the connection, whatever ended that. `names` are those of its
+    headers, in lower case.
+    """
+    return (
+        status in BODILESS_STATUSES
+        or b"content-length" in names
+        or b"transfer-encoding" in names
+    )
+
+
 class MeteredStream(httpcore.AsyncNetworkStream):
     """Network stream that limits the bytes and reads of a response's head.
 
--- a/pistachiohaven/components/web/const.py
+++ b/pistachiohaven/components/web/const.py
@@ -75,3 +75,6 @@
 
 HAS_CALLER_LEFT: Final = "has_caller_left"
 """Key of the connection's state in an ASGI scope; see `has_caller_left`."""
+
+BODILESS_STATUSES: Final = frozenset({204, 205, 304})
+"""Statuses of responses without a body."""
--- a/pistachiohaven/platform/_store.py
+++ b/pistachiohaven/platform/_store.py
@@ -175,10 +175,11 @@
 
 @dataclass(frozen=True, slots=True, kw_only=True)
 class _Read:
-    """Body of a response, empty if the key does not exist, and the store's era."""
+    """Body of a response, and the store's era; `is_found` is False without the key."""
 
     body: bytes
     era: int
+    is_found: bool = True
 
 
 class StoreClient:
@@ -201,7 +202,7 @@
         if isinstance(read, Err):
             return read
         body, era = read.ok_value.body, read.ok_value.era
-        if not body:
+        if not read.ok_value.is_found:
             first_revision = make_revision(era, 0)
             return Ok(
                 Snapshot(
@@ -288,7 +289,7 @@
         if era is None:
             return Err(StoreError.UNREADABLE)
         if response.ok_value.status == _STATUS_NOT_FOUND:
-            return Ok(_Read(body=b"", era=era))
+            return Ok(_Read(body=b"", era=era, is_found=False))
         if response.ok_value.status == _STATUS_GONE:
             return Err(StoreError.HISTORY_GONE)
         if response.ok_value.status != _STATUS_OK:
--- a/tests/components/gateway/test_store_watch.py
+++ b/tests/components/gateway/test_store_watch.py
@@ -405,3 +405,25 @@
         assert not await node.state.list_confirmation.confirm(node.now_ms)
 
     run_node(monkeypatch, test)
+
+
+def test_empty_response_of_the_store_is_not_taken_for_an_absent_configuration(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """The store ended right after the head of a response without a length."""
+
+    async def test(node: Node) -> None:
+        answer = node.store.answer
+
+        async def answer_emptily(path: str) -> tuple[int, bytes]:
+            status, body = await answer(path)
+            if "op%2Fconfig" in path:
+                node.store.answer = answer  # type: ignore[method-assign]
+                return status, b""
+            return status, body
+
+        node.store.answer = answer_emptily  # type: ignore[method-assign]
+        node.store.put("op/config", make_config(1))
+        await node.wait_for_version(1, timeout_ms=STABLE_MS)
+
+    run_node(monkeypatch, test, has_config=False)
--- a/tests/components/sidecar/test_endless_response.py
+++ b/tests/components/sidecar/test_endless_response.py
@@ -1,10 +1,13 @@
-"""Test that a sidecar gives up a target's response without end."""
+"""Test that a sidecar cuts a target's response without end, or without a body."""
 
+from collections.abc import Awaitable, Callable
+
+import pytest
 import trio
 
 from pistachiohaven.components.peer import OfferMessage
 from pistachiohaven.components.sidecar import SidecarCore
-from pistachiohaven.components.sidecar._response import ResponseState
+from pistachiohaven.components.sidecar._response import BufferedResponse, ResponseState
 from pistachiohaven.components.sidecar._runner import EffectRunner
 from pistachiohaven.components.target import ServiceTarget
 from pistachiohaven.components.web import make_connection_pool
@@ -29,7 +32,12 @@
     await stream.aclose()
 
 
-def test_response_without_end_is_cut() -> None:
+def run_one_call(
+    respond: Callable[[trio.SocketStream], Awaitable[None]],
+) -> BufferedResponse:
+    """Return the response of a target that answers with `respond`."""
+    responses: list[BufferedResponse] = []
+
     async def run() -> None:
         core = SidecarCore(name="s", incarnation="s#1")
         core.lifecycle.serve()
@@ -37,7 +45,7 @@
         _, port = listener.socket.getsockname()
         with trio.fail_after(30):
             async with trio.open_nursery() as nursery:
-                nursery.start_soon(trio.serve_listeners, send_too_much, [listener])
+                nursery.start_soon(trio.serve_listeners, respond, [listener])
                 runner = EffectRunner(
                     core=core,
                     target=ServiceTarget(address=f"127.0.0.1:{port}"),
@@ -54,11 +62,38 @@
                 assert response is not None
                 while not response.is_ended:
                     await trio.sleep(0.01)
+                responses.append(response)
                 nursery.cancel_scope.cancel()
-        assert response.state is ResponseState.CUT
-        assert response.size_bytes <= LIMIT_BYTES + READ_BYTES
 
     trio.run(run)
+    return responses[0]
+
+
+def test_response_without_end_is_cut() -> None:
+    response = run_one_call(send_too_much)
+    assert response.state is ResponseState.CUT
+    assert response.size_bytes <= LIMIT_BYTES + READ_BYTES
+
+
+@pytest.mark.parametrize(
+    ("data", "state"),
+    [
+        (b"\r\n", ResponseState.CUT),
+        (b"\r\nbody", ResponseState.WHOLE),
+        (b"content-length: 0\r\n\r\n", ResponseState.WHOLE),
+    ],
+)
+def test_response_that_ends_with_its_head_is_cut(
+    data: bytes, state: ResponseState
+) -> None:
+    """Nothing says that a body of unknown length was empty."""
+
+    async def respond(stream: trio.SocketStream) -> None:
+        await stream.receive_some()
+        await stream.send_all(b"HTTP/1.1 200 OK\r\n" + data)
+        await stream.aclose()
+
+    assert run_one_call(respond).state is state
 
 
 def wall_s() -> float:
