Reset a connection to a target only if it has unsent bytes

A target that reads the end of the connection then gets an error instead: a test of a caller that leaves failed (test_disconnect_of_the_caller_cancels_the_dispatch).

Change: the number of bytes that the other side has not received is looked up when a connection is closed. Only if there are some is it reset.

--- a/pistachiohaven/components/gateway/_connections.py
+++ b/pistachiohaven/components/gateway/_connections.py
@@ -1,7 +1,5 @@
 """Connections to targets, and HTTP exchanges on them."""
 
-import socket
-import struct
 from dataclasses import dataclass
 
 import httpcore
@@ -21,13 +19,6 @@
 
 Headers = list[tuple[bytes, bytes]]
 
-SOCKET_OPTIONS = [(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))]
-"""Options of connections to targets.
-
-What the network has not taken of a request is dropped when its connection is closed. It
-would arrive later otherwise, when nobody waits for a response or counts it any more.
-"""
-
 CONNECTION_ERRORS = (
     httpcore.NetworkError,
     httpcore.ProtocolError,
@@ -142,10 +133,7 @@
         self.opened_count += 1
         try:
             stream = await self._backend.connect_tcp(
-                host,
-                int(port),
-                timeout=CONNECT_TIMEOUT_MS / MS_PER_S,
-                socket_options=SOCKET_OPTIONS,
+                host, int(port), timeout=CONNECT_TIMEOUT_MS / MS_PER_S
             )
         except CONNECTION_ERRORS as error:
             return Err(type(error).__name__)
--- a/pistachiohaven/components/web/_metered.py
+++ b/pistachiohaven/components/web/_metered.py
@@ -1,12 +1,20 @@
 """Limits on what a server may send in one response."""
 
+import fcntl
+import functools
+import socket
 import ssl
+import struct
+import sys
+import termios
 from collections.abc import AsyncIterator, Collection, Iterable
 from typing import Any, Final
 
 import httpcore
 import trio
 
+from pistachiohaven.helpers import ComponentLogger
+
 from .const import (
     BODILESS_STATUSES,
     HEAD_READ_BYTES,
@@ -23,6 +31,28 @@
 )
 
 _NO_LIMIT: Final = 1 << 62
+_NO_LINGER: Final = struct.pack("ii", 1, 0)
+_INT_BYTES: Final = 4
+
+
+def count_unsent_bytes(sock: trio.socket.SocketType) -> int:
+    """Return the number of bytes that the other side has not received yet.
+
+    0 for a closed socket, and if the system can't tell, which is logged once.
+    """
+    if sock.fileno() < 0:
+        return 0
+    try:
+        count = fcntl.ioctl(sock.fileno(), termios.TIOCOUTQ, bytes(_INT_BYTES))
+    except OSError as error:
+        _log_unsent_unknown(type(error).__name__)
+        return 0
+    return int.from_bytes(count, sys.byteorder)
+
+
+@functools.cache
+def _log_unsent_unknown(error: str) -> None:
+    ComponentLogger(component="web").info("unsent_bytes_unknown", error=error)
 
 
 class EndlessResponseError(httpcore.RemoteProtocolError):
@@ -86,7 +116,14 @@
         await self._stream.write(buffer, timeout)
 
     async def aclose(self) -> None:
-        """Close the stream."""
+        """Close the stream.
+
+        What the network has not taken of a request is dropped. It would arrive later
+        otherwise, when nobody waits for a response or counts it any more.
+        """
+        sock = self._stream.get_extra_info("socket")
+        if sock is not None and count_unsent_bytes(sock):
+            sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, _NO_LINGER)
         await self._stream.aclose()
 
     async def start_tls(
