Use no fixed part of the retry budget before another gateway was heard of

What operators may have seen: repeats beyond the allowance in one window.

Cause: a gateway that starts while cut off from all others knows its seeds only, and divided the fixed part by these, however many had joined.

Change: until it has heard of another one, a gateway with seeds uses no part of the fixed allowance, only that of its own requests.

--- a/pistachiohaven/components/exchange/_core.py
+++ b/pistachiohaven/components/exchange/_core.py
@@ -103,6 +103,7 @@
         self._first_round_ms: int | None = None
         self._rounds_since_digest = 0
         self._extra_bytes = 0
+        self._has_heard = False
         for address in seeds:
             self._add_peer(Member(name="", address=address), now_ms=0)
         self._seeds = frozenset(self._peers)
@@ -120,6 +121,16 @@
         """Return the number of entries that may run, including this one."""
         return len(self.entry_addresses())
 
+    def heard_entry_count(self) -> int | None:
+        """Return the number of entries that may run, None if it is not known.
+
+        An entry with seeds that has heard of no other one since its start knows only
+        these, however many have joined.
+        """
+        if self._seeds and not self._has_heard:
+            return None
+        return self.entry_count()
+
     def entry_addresses(self) -> frozenset[str]:
         """Return the addresses of the entries that may run, including this one."""
         lost_addresses = (address for address, _ in self._lost_peers.items())
@@ -138,6 +149,7 @@
             () if is_same_incarnation or not peer.incarnation else (peer.incarnation,)
         )
         has_returned = not peer.is_live(now_ms=now_ms)
+        self._has_heard = True
         if not is_same_incarnation:
             self.schedule_digest(digest.sender.address)
             self._by_hash.pop(short_hash(peer.incarnation), None)
--- a/pistachiohaven/components/gateway/_request.py
+++ b/pistachiohaven/components/gateway/_request.py
@@ -529,7 +529,7 @@
     def _reserve(self) -> RepeatPermit | None:
         state = self._state
         return state.retry_budget(self._call.pool_name).try_reserve(
-            entries=state.exchange.entry_count(), now_ms=state.clock.now_ms()
+            entries=state.exchange.heard_entry_count(), now_ms=state.clock.now_ms()
         )
 
     def _admit(self, load: TargetLoad, *, is_hedge: bool) -> str | None:
@@ -550,7 +550,7 @@
             self._permit = None
         state = self._state
         now_ms = state.clock.now_ms()
-        if not permit.use(entries=state.exchange.entry_count(), now_ms=now_ms):
+        if not permit.use(entries=state.exchange.heard_entry_count(), now_ms=now_ms):
             return "retry budget"
         state.log.info(
             "repeat_sent",
@@ -710,7 +710,7 @@
         """Return the log fields of the pool's retry budget."""
         state = self._state
         view = state.retry_budget(self._call.pool_name).view(
-            entries=state.exchange.entry_count(), now_ms=state.clock.now_ms()
+            entries=state.exchange.heard_entry_count(), now_ms=state.clock.now_ms()
         )
         return {
             "pool": self._call.pool_name,
--- a/pistachiohaven/components/retry/_window.py
+++ b/pistachiohaven/components/retry/_window.py
@@ -30,7 +30,7 @@
     repeats: int
     reserved: int
     allowed: float
-    entries: int
+    entries: int | None
     age_ms: int
 
 
@@ -42,7 +42,7 @@
         self._is_open = True
         self.reserved_ms = reserved_ms
 
-    def use(self, *, entries: int, now_ms: int) -> bool:
+    def use(self, *, entries: int | None, now_ms: int) -> bool:
         """Use the permission, just before the repeat is sent; it ends with that.
 
         Return False if the window has no room now, or if it has ended before.
@@ -67,7 +67,8 @@
 
     - The requests of a window of any entry lie in at most two consecutive windows of
       the operators, so an entry uses `REQUEST_SHARE`, half, of the ratio.
-    - The fixed part is divided evenly among the known entries. An entry uses
+    - The fixed part is divided evenly among the known entries; one that has heard of
+      none since its start does not know them. An entry uses
       `STEADY_EXTRA_SHARE` of its part once its window holds nothing of a predecessor.
       Before, that may all be spent: its predecessors had the same part, and successive
       incarnations within a window share `START_EXTRA_SHARE`, by the square of their
@@ -102,10 +103,11 @@
         self._request_times_ms.append(now_ms)
         self._remove_expired(now_ms=now_ms)
 
-    def try_reserve(self, *, entries: int, now_ms: int) -> RepeatPermit | None:
+    def try_reserve(self, *, entries: int | None, now_ms: int) -> RepeatPermit | None:
         """Reserve one repeat; return None if none is available.
 
-        `entries` is the number of entries that share the fixed part.
+        `entries` is the number of entries that share the fixed part, None if it is not
+        known; no part of it is used then.
         """
         view = self.view(entries=entries, now_ms=now_ms)
         if view.repeats + view.reserved + 1 > view.allowed:
@@ -113,7 +115,7 @@
         self._reserved += 1
         return RepeatPermit(budget=self, reserved_ms=now_ms)
 
-    def try_send(self, *, entries: int, now_ms: int) -> bool:
+    def try_send(self, *, entries: int | None, now_ms: int) -> bool:
         """Record a repeat that is sent now; return False if none is available."""
         view = self.view(entries=entries, now_ms=now_ms)
         if view.repeats + 1 > view.allowed:
@@ -125,7 +127,7 @@
         """End one reservation."""
         self._reserved -= 1
 
-    def view(self, *, entries: int, now_ms: int) -> BudgetView:
+    def view(self, *, entries: int | None, now_ms: int) -> BudgetView:
         """Return the state of the budget if it is shared by `entries` entries."""
         self._remove_expired(now_ms=now_ms)
         requests = len(self._request_times_ms)
@@ -134,12 +136,12 @@
             extra_share = STEADY_EXTRA_SHARE
         else:
             extra_share = START_EXTRA_SHARE * (known_ms / self._terms.window_ms) ** 2
+        extra = extra_share * self._terms.extra / entries if entries else 0.0
         return BudgetView(
             requests=requests,
             repeats=len(self._repeat_times_ms),
             reserved=self._reserved,
-            allowed=REQUEST_SHARE * self._terms.ratio * requests
-            + extra_share * self._terms.extra / max(entries, 1),
+            allowed=REQUEST_SHARE * self._terms.ratio * requests + extra,
             entries=entries,
             age_ms=now_ms - self._started_ms,
         )
--- a/tests/components/exchange/test_core.py
+++ b/tests/components/exchange/test_core.py
@@ -105,6 +105,15 @@
     assert exchange.entry_count() == 3
 
 
+def test_number_of_entries_is_unknown_until_one_of_them_was_heard_of() -> None:
+    """However many have joined, an entry that is cut off knows its seeds only."""
+    exchange = make_exchange("10.0.0.1:7600")
+    assert exchange.heard_entry_count() is None
+    exchange.handle_digest(digest("2"), now_ms=0)
+    assert exchange.heard_entry_count() == 3
+    assert make_exchange().heard_entry_count() == 1
+
+
 def test_expired_entry_is_removed_but_a_seed_is_kept() -> None:
     exchange = make_exchange("10.0.0.1:7600")
     exchange.handle_digest(digest("2"), now_ms=0)
--- a/tests/components/retry/test_budget_over_restarts.py
+++ b/tests/components/retry/test_budget_over_restarts.py
@@ -22,12 +22,16 @@
 
 @dataclass(kw_only=True)
 class Gateway:
-    """One gateway; `budget` is None while it is down."""
+    """One gateway; `budget` is None while it is down.
+
+    If `is_cut_off`, no gateway has heard of it since its start, nor it of any.
+    """
 
     started_ms: int
     budget: WindowBudget | None
     down_until_ms: int = 0
     requests_per_s: float = 0.0
+    is_cut_off: bool = False
 
 
 @dataclass(kw_only=True)
@@ -58,20 +62,26 @@
         gateway.budget = None
         gateway.down_until_ms = self.now_ms + down_ms
 
-    def add(self, *, requests_per_s: float) -> None:
+    def add(self, *, requests_per_s: float, is_cut_off: bool = False) -> None:
         """Add a gateway that starts now."""
         gateway = Gateway(
-            started_ms=self.now_ms, budget=None, requests_per_s=requests_per_s
+            started_ms=self.now_ms,
+            budget=None,
+            requests_per_s=requests_per_s,
+            is_cut_off=is_cut_off,
         )
         self.gateways.append(gateway)
         self.start(gateway)
 
-    def entries_known_to(self, gateway: Gateway) -> int:
+    def entries_known_to(self, gateway: Gateway) -> int | None:
         """Return the number of gateways that `gateway` knows of, including itself."""
+        if gateway.is_cut_off:
+            return None
         age_ms = self.now_ms - gateway.started_ms
         joined = sum(
             self.now_ms - other.started_ms >= LEARN_MS or other.down_until_ms > 0
             for other in self.gateways
+            if not other.is_cut_off
         )
         known = joined if age_ms >= LEARN_MS else min(self.seeds + 1, joined)
         return max(known, 1)
@@ -165,6 +175,15 @@
     fleet.run(fleet.now_ms + 2 * WINDOW_MS, demand=4.0)
 
 
+def join_cut_off(fleet: Fleet) -> None:
+    """Add twice as many gateways that reach targets, but no other gateway."""
+    for gateway in list(fleet.gateways):
+        gateway.requests_per_s /= 3
+        for _ in range(2):
+            fleet.add(requests_per_s=gateway.requests_per_s, is_cut_off=True)
+    fleet.run(fleet.now_ms + 3 * WINDOW_MS, demand=6.0)
+
+
 def traffic_moves(fleet: Fleet) -> None:
     """Kill half of the gateways for good; the others get their callers."""
     fleet.run(fleet.now_ms + 3_000, demand=4.0)
@@ -195,6 +214,7 @@
         kill_all_again_and_again,
         kill_some_at_random,
         join,
+        join_cut_off,
         traffic_moves,
         traffic_in_pulses,
     ],
