Ask twice the expected run only of requests that may run once

Cause: a gateway that leaves refused all requests whose expected run did not fit twice into what was left, with the penalty for recent failures of a target counted as time. In a calm stop it refused streams that would have ended, or that callers could have taken up elsewhere.

Change: the expected run without the penalty must be left; twice that for a request that may run once only.

--- a/pistachiohaven/components/gateway/_request.py
+++ b/pistachiohaven/components/gateway/_request.py
@@ -251,8 +251,10 @@
         if load is None or end_ms is None or self._response.is_started:
             return False
         now_ms = self._state.clock.now_ms()
-        expected_ms = load.expected_ms(self._job, now_ms=now_ms)
-        return now_ms + DRAIN_RUN_FACTOR * expected_ms > end_ms
+        needed_ms = load.expected_run_ms(self._job, now_ms=now_ms)
+        if not self._call.route.is_repeatable:
+            needed_ms *= DRAIN_RUN_FACTOR
+        return now_ms + needed_ms > end_ms
 
     def _release_slot(self, target: str) -> None:
         """Free the slot of a request that is not sent to `target`."""
--- a/pistachiohaven/components/gateway/const.py
+++ b/pistachiohaven/components/gateway/const.py
@@ -99,9 +99,9 @@
 """Time before the exit at which requests without a response are answered."""
 
 DRAIN_RUN_FACTOR: Final = 2.0
-"""Time that must be left to a request at a gateway that leaves, in expected runs.
+"""Time that must be left to a request that may run once, in expected runs.
 
-Runs vary, and a request that is cut may have run in vain.
+At a gateway that leaves. Runs vary, and nobody can repeat such a request if it is cut.
 """
 
 NO_CONFIG_RETRY_AFTER_MS: Final = 500
--- a/pistachiohaven/components/placement/_load.py
+++ b/pistachiohaven/components/placement/_load.py
@@ -480,9 +480,13 @@
     def expected_ms(self, job: Job, *, now_ms: int) -> float:
         """Return the expected duration of `job` in ms, increased by recent failures."""
         penalty = 1.0 + FAILURE_PENALTY * self.failed_share
+        return self.expected_run_ms(job, now_ms=now_ms) * penalty
+
+    def expected_run_ms(self, job: Job, *, now_ms: int) -> float:
+        """Return the expected duration of `job` in ms if it does not fail."""
         utilisation = self.running(now_ms=now_ms) / self.target.slots
         if not self.is_engine:
-            return self.service_ms * (1.0 + utilisation) * penalty
+            return self.service_ms * (1.0 + utilisation)
         backlog = self.own_prefill_tokens() + sum(
             peer.prefill_tokens for peer in self._live_peer_loads(now_ms=now_ms)
         )
@@ -490,10 +494,9 @@
         expected_first_event_ms = (
             FIRST_BYTE_OVERHEAD_MS + tokens_to_prefill / self.prefill_tokens_per_ms
         )
-        return (
-            expected_first_event_ms
-            + job.output_tokens * self.token_ms * (1.0 + utilisation)
-        ) * penalty
+        return expected_first_event_ms + job.output_tokens * self.token_ms * (
+            1.0 + utilisation
+        )
 
     def expected_first_event_ms(self, job: Job, *, now_ms: int) -> float:
         """Return the expected time in ms until the first event of `job`."""
