--- a/review/stand_ins/case.py
+++ b/review/stand_ins/case.py
@@ -31,6 +31,7 @@
     def __init__(self, *, folder: Path, scratch: Path, gateways: int) -> None:
         self.has_trouble = os.environ.get("TROUBLE", "1") != "0"
         self._started = time.monotonic()
+        self._lines: list[dict[str, Any]] = []
         self._record_file = (folder / "record.txt").open("w", encoding="utf-8")
         self.hosts = [f"127.0.0.{number}" for number in range(11, 11 + gateways)]
         self._server_host = "127.0.0.10"
@@ -51,10 +52,16 @@
 
     def record(self, event: str, **details: Any) -> None:
         """Write one line of the record."""
-        line = {"s": round(time.monotonic() - self._started, 3), "event": event}
-        self._record_file.write(json.dumps({**line, **details}) + "\n")
+        at_s = round(time.monotonic() - self._started, 3)
+        line = {"s": at_s, "event": event, **details}
+        self._lines.append(line)
+        self._record_file.write(json.dumps(line) + "\n")
         self._record_file.flush()
 
+    def lines(self, event: str) -> list[dict[str, Any]]:
+        """Return the lines of the record about one kind of event."""
+        return [line for line in self._lines if line["event"] == event]
+
     async def add_server(self, name: str, service: str, **options: Any) -> Server:
         """Start a server that is not registered yet."""
         self._next_server += 1
--- a/review/stand_ins/client.py
+++ b/review/stand_ins/client.py
@@ -10,6 +10,7 @@
 from .wire import encode_head, read_chunk, read_head
 
 CONNECT_TIMEOUT_S = 1.0
+RECONNECT_S = 0.1
 
 
 @dataclass(kw_only=True)
@@ -66,6 +67,53 @@
     return answer
 
 
+async def send_many(
+    address: tuple[str, int],
+    *,
+    path: str,
+    deadline_ms: int,
+    end: asyncio.Event,
+    record: Callable[..., None],
+) -> None:
+    """Send one small request after the other on a kept connection until `end`.
+
+    The client opens a new connection if the gateway closes the one that it has.
+    """
+    while not end.is_set():
+        try:
+            async with asyncio.timeout(CONNECT_TIMEOUT_S):
+                reader, writer = await asyncio.open_connection(*address)
+        except (OSError, TimeoutError):
+            await asyncio.sleep(RECONNECT_S)
+            continue
+        answer = Answer(attempt="")
+        while not end.is_set():
+            answer = Answer(attempt=new_attempt_id())
+            fields = {
+                "Host": "review.example",
+                "Pistachiohaven-Attempt-Id": answer.attempt,
+                "Pistachiohaven-Deadline-Ms": str(deadline_ms),
+                "Content-Length": "2",
+            }
+            record("sent", attempt=answer.attempt, gateway=address[0])
+            with contextlib.suppress(
+                OSError, TimeoutError, asyncio.IncompleteReadError
+            ):
+                async with asyncio.timeout(deadline_ms / 1000):
+                    writer.write(encode_head(f"POST {path} HTTP/1.1", fields) + b"{}")
+                    await writer.drain()
+                    await _read_answer(reader, answer)
+            record(
+                "answered",
+                attempt=answer.attempt,
+                status=answer.status,
+                complete=answer.is_complete,
+            )
+            if not answer.is_complete or answer.headers.get("connection") == "close":
+                break
+        writer.close()
+
+
 async def _read_answer(reader: asyncio.StreamReader, answer: Answer) -> None:
     head = await read_head(reader)
     if head is None:
--- a/review/stand_ins/gateways.py
+++ b/review/stand_ins/gateways.py
@@ -15,6 +15,7 @@
 FREE_PORT_TRIES = 50
 START_TIMEOUT_S = 20.0
 SETTLE_S = 0.05
+BYTES_PER_MB = 1 << 20
 
 
 def find_free_ports(hosts: list[str], count: int) -> list[int]:
@@ -99,6 +100,16 @@
         """Return the exit code, None while the process runs."""
         return None if self._process is None else self._process.poll()
 
+    def memory_mb(self) -> float:
+        """Return the resident memory of the process, 0 if it does not run."""
+        if self._process is None or self._process.poll() is not None:
+            return 0.0
+        try:
+            text = Path(f"/proc/{self._process.pid}/statm").read_text(encoding="ascii")
+        except OSError:
+            return 0.0
+        return int(text.split()[1]) * os.sysconf("SC_PAGE_SIZE") / BYTES_PER_MB
+
     def signal(self, number: signal.Signals) -> None:
         """Send a signal to the process if it runs."""
         if self._process is not None and self._process.poll() is None:
--- a/review/stand_ins/server.py
+++ b/review/stand_ins/server.py
@@ -39,6 +39,7 @@
         self.events = events
         self.gap_s = gap_s
         self.slots = slots
+        self.born_ms = int(time.time() * 1000)
         self.running = 0
         self.run_at_s: list[float] = []
         self._record = record
@@ -63,6 +64,7 @@
             "state": state,
             "coldRemainingMs": 0,
             "sequence": 1,
+            "born": self.born_ms,
         }
 
     async def start(self) -> None:
@@ -79,6 +81,12 @@
         for task in list(self._tasks):
             task.cancel()
 
+    async def restart(self, version: str) -> None:
+        """Start again under the same id and address, with other software."""
+        self.version = version
+        self.born_ms = int(time.time() * 1000)
+        await self.start()
+
     async def _serve(
         self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
     ) -> None:
--- a/review/stand_ins/store.py
+++ b/review/stand_ins/store.py
@@ -10,13 +10,14 @@
 
 from .wire import encode_response, read_request
 
-OK, NOT_FOUND, GONE = 200, 404, 410
+OK, NOT_FOUND, GONE, UNAVAILABLE = 200, 404, 410, 503
 
 
 class Store:
     """Store with items, lists and watches, as the pages describe it.
 
     `cut_after_s` is the time after which a watch that waits is cut, None for never.
+    While it `is_down`, each call is answered 503, also a watch that waits.
     """
 
     def __init__(self, address: tuple[str, int]) -> None:
@@ -26,6 +27,7 @@
         self.events: list[dict[str, Any]] = []
         self.cut_after_s: float | None = None
         self.cuts = 0
+        self.is_down = False
         self._changed = asyncio.Event()
         self._server: asyncio.Server | None = None
 
@@ -38,6 +40,11 @@
         if self._server is not None:
             self._server.close()
 
+    def set_down(self, is_down: bool) -> None:
+        """Begin or end an outage."""
+        self.is_down = is_down
+        self._notify()
+
     def put(self, key: str, value: object) -> float:
         """Write an item and return the time of the acknowledgement."""
         self.revision += 1
@@ -53,9 +60,12 @@
 
     def _publish(self, event: dict[str, Any]) -> float:
         self.events.append(event)
+        self._notify()
+        return time.monotonic()
+
+    def _notify(self) -> None:
         self._changed.set()
         self._changed = asyncio.Event()
-        return time.monotonic()
 
     def _item(self, key: str) -> dict[str, Any]:
         value, revision = self.items[key]
@@ -85,6 +95,8 @@
 
     async def _answer(self, target: str) -> tuple[int, dict[str, Any]] | None:
         """Return status and content, None if the connection is to be cut."""
+        if self.is_down:
+            return UNAVAILABLE, {}
         url = urlsplit(target)
         query = {name: values[0] for name, values in parse_qs(url.query).items()}
         if url.path.endswith("/kv-key"):
@@ -106,7 +118,7 @@
         end = time.monotonic() + wait_s
         cut_after_s = self.cut_after_s
         cut = None if cut_after_s is None else time.monotonic() + cut_after_s
-        while True:
+        while not self.is_down:
             events = [event for event in self.events if event["revision"] > after]
             now = time.monotonic()
             if events or now >= end:
@@ -117,3 +129,4 @@
             left_s = min(end, cut or end) - now
             with contextlib.suppress(TimeoutError):
                 await asyncio.wait_for(self._changed.wait(), left_s)
+        return UNAVAILABLE, {}
