--- a/review/stand_ins/case.py
+++ b/review/stand_ins/case.py
@@ -52,21 +52,30 @@
 
     def record(self, event: str, **details: Any) -> None:
         """Write one line of the record."""
-        at_s = round(time.monotonic() - self._started, 3)
-        line = {"s": at_s, "event": event, **details}
+        line = {"s": self.elapsed_s(), "event": event, **details}
         self._lines.append(line)
         self._record_file.write(json.dumps(line) + "\n")
         self._record_file.flush()
 
+    def elapsed_s(self) -> float:
+        """Return the time since the start of the case."""
+        return round(time.monotonic() - self._started, 3)
+
     def lines(self, event: str) -> list[dict[str, Any]]:
         """Return the lines of the record about one kind of event."""
         return [line for line in self._lines if line["event"] == event]
 
-    async def add_server(self, name: str, service: str, **options: Any) -> Server:
-        """Start a server that is not registered yet."""
+    async def add_server(
+        self,
+        name: str,
+        service: str,
+        make: Callable[..., Server] = Server,
+        **options: Any,
+    ) -> Server:
+        """Start a server of the class `make` that is not registered yet."""
         self._next_server += 1
         (port,) = find_free_ports([self._server_host], 1)
-        server = Server(
+        server = make(
             name=name,
             service=service,
             address=(self._server_host, port),
--- a/review/stand_ins/server.py
+++ b/review/stand_ins/server.py
@@ -87,6 +87,13 @@
         self.born_ms = int(time.time() * 1000)
         await self.start()
 
+    def reject(self, response: bytes, writer: asyncio.StreamWriter) -> None:
+        """Send the answer to a request for which there is no slot."""
+        writer.write(response)
+
+    async def before_answer(self, writer: asyncio.StreamWriter) -> None:
+        """Do what precedes the answer to each request on a connection."""
+
     async def _serve(
         self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
     ) -> None:
@@ -96,6 +103,7 @@
         self._tasks.add(task)
         try:
             while (request := await read_request(reader)) is not None:
+                await self.before_answer(writer)
                 await self._answer(request, writer)
         except (ConnectionError, asyncio.CancelledError):
             pass
@@ -119,7 +127,7 @@
         if self.running >= self.slots:
             self._record("rejected", attempt=attempt, server=self.name, status=503)
             headers = {**signed, "Pistachiohaven-Not-Executed": "1"}
-            writer.write(encode_response(FULL, headers))
+            self.reject(encode_response(FULL, headers), writer)
             return
         self.running += 1
         self.run_at_s.append(time.monotonic())
@@ -140,6 +148,9 @@
                 writer.write(encode_response(OK, signed, body))
                 await writer.drain()
             self._record("ran", attempt=attempt, server=self.name)
+        except (ConnectionError, asyncio.CancelledError):
+            self._record("stopped", attempt=attempt, server=self.name)
+            raise
         finally:
             self.running -= 1
 
