--- a/review/stand_ins/client.py
+++ b/review/stand_ins/client.py
@@ -171,19 +171,29 @@
         if left_s <= 0:
             break
         resume = {"Last-Event-Id": str(stream.pieces[-1][0])} if stream.pieces else {}
+        attempt = new_attempt_id()
+        address = addresses[number % len(addresses)]
+        record(
+            "sent",
+            client=name,
+            attempt=attempt,
+            gateway=address[0],
+            path=path,
+            resumes_after=resume.get("Last-Event-Id"),
+        )
         answer = await send(
-            addresses[number % len(addresses)],
+            address,
             path=path,
             deadline_ms=int(left_s * 1000),
             headers=resume,
+            attempt=attempt,
         )
         stream.attempts.append(answer)
         stream.pieces += answer.pieces
         record(
             "answered",
             client=name,
-            attempt=answer.attempt,
-            resumes_after=resume.get("Last-Event-Id"),
+            attempt=attempt,
             status=answer.status,
             complete=answer.is_complete,
             pieces=[f"{number}: {data}" for number, data in answer.pieces],
