Exit with 2 if a case of the review could not run

Cause: an error before the start ended a script with 1, as if the rule were broken, and a run without any request counted as held. Change: both exit with 2.

--- a/review/stand_ins/case.py
+++ b/review/stand_ins/case.py
@@ -113,7 +113,12 @@
     play: Callable[[Case], Awaitable[list[str]]], *, file: str, gateways: int
 ) -> None:
     """Play a case and exit: 1 if `play` returns what was broken, 0 if nothing was."""
-    sys.exit(asyncio.run(_run(play, folder=Path(file).parent, gateways=gateways)))
+    try:
+        code = asyncio.run(_run(play, folder=Path(file).parent, gateways=gateways))
+    except Exception:
+        traceback.print_exc()
+        code = NOT_RUN
+    sys.exit(code)
 
 
 async def _run(
@@ -128,6 +133,8 @@
         try:
             async with asyncio.timeout(MAX_RUN_S):
                 broken = await play(case)
+            if not case.lines("run"):
+                raise RuntimeError("no server ran a request")
         except (Exception, asyncio.CancelledError):
             case.record("not_run", error=traceback.format_exc())
             traceback.print_exc()
