Set the end of a missing target's grace period once

Cause: the end of the grace period was computed from the last return of the store, so each return moved it for all missing targets, also for those that had vanished long before. Returns less than 1.8 s apart kept a removed target in use for as long as they went on.

Change: a target gets the end of its grace period when it goes missing. Later outages give none to a target that is missing already; one that registers again starts anew.

--- a/pistachiohaven/components/fleet/_targets.py
+++ b/pistachiohaven/components/fleet/_targets.py
@@ -21,13 +21,14 @@
     """Targets by name.
 
     A target that is missing shortly after an outage of the store may not have
-    registered again yet, so it is kept for `RECOVERY_GRACE_MS`.
+    registered again yet, so it is kept until `RECOVERY_GRACE_MS` after the outage. The
+    end is set when the target goes missing; a later outage does not move it.
     """
 
     def __init__(self) -> None:
         self._targets: dict[str, Target] = {}
-        self._vanished_ms: dict[str, int] = {}
-        self._recovered_ms: int | None = None
+        self._kept_until_ms: dict[str, int] = {}
+        self._grace_end_ms: int | None = None
         self._removed = TtlMap[Target](retention_ms=REMOVED_RETENTION_MS)
 
     def all(self) -> list[Target]:
@@ -40,12 +41,12 @@
 
     def record_store_recovery(self, *, now_ms: int) -> None:
         """Record that the store responds again after an outage."""
-        self._recovered_ms = now_ms
+        self._grace_end_ms = now_ms + RECOVERY_GRACE_MS
 
     def put(self, target: Target) -> TargetChange:
         """Add or replace one target."""
         before = self._targets.get(target.name)
-        self._vanished_ms.pop(target.name, None)
+        self._kept_until_ms.pop(target.name, None)
         self._targets[target.name] = target
         return TargetChange(name=target.name, before=before, after=target)
 
@@ -65,10 +66,11 @@
         before = self._targets.get(name)
         if before is None:
             return None
-        if self._is_in_grace_period(now_ms=now_ms) and not before.leaving:
-            self._vanished_ms.setdefault(name, now_ms)
-            return None
-        return self._drop(name, now_ms=now_ms)
+        kept_until_ms = self._kept_until_ms.get(name, self._grace_end_ms)
+        if before.leaving or kept_until_ms is None or now_ms >= kept_until_ms:
+            return self._drop(name, now_ms=now_ms)
+        self._kept_until_ms[name] = kept_until_ms
+        return None
 
     def replace_all(self, targets: list[Target], *, now_ms: int) -> list[TargetChange]:
         """Replace the targets by a complete list; return the changes."""
@@ -82,16 +84,15 @@
 
     def expire(self, *, now_ms: int) -> list[TargetChange]:
         """Remove the targets that did not register again within the grace period."""
-        if self._is_in_grace_period(now_ms=now_ms):
-            return []
-        return [self._drop(name, now_ms=now_ms) for name in list(self._vanished_ms)]
-
-    def _is_in_grace_period(self, *, now_ms: int) -> bool:
-        recovered_ms = self._recovered_ms
-        return recovered_ms is not None and now_ms - recovered_ms < RECOVERY_GRACE_MS
+        expired = [
+            name
+            for name, kept_until_ms in self._kept_until_ms.items()
+            if now_ms >= kept_until_ms
+        ]
+        return [self._drop(name, now_ms=now_ms) for name in expired]
 
     def _drop(self, name: str, *, now_ms: int) -> TargetChange:
-        self._vanished_ms.pop(name, None)
+        self._kept_until_ms.pop(name, None)
         target = self._targets.pop(name)
         self._removed.put(name, target, now_ms=now_ms)
         return TargetChange(name=name, before=target, after=None)
--- a/tests/components/fleet/test_core.py
+++ b/tests/components/fleet/test_core.py
@@ -96,6 +96,33 @@
     assert [target.name for target in targets.all()] == ["i-2"]
 
 
+def test_further_outages_do_not_prolong_the_grace_period_of_a_missing_target() -> None:
+    """Outages in a row kept targets in use that had been removed long before."""
+    targets = TargetList()
+    targets.put(make_target("i-1"))
+    targets.record_store_recovery(now_ms=1_000)
+    assert targets.remove("i-1", now_ms=1_010) is None
+    for now_ms in range(1_500, 1_000 + RECOVERY_GRACE_MS, 500):
+        targets.record_store_recovery(now_ms=now_ms)
+        assert targets.remove("i-1", now_ms=now_ms) is None
+        assert targets.expire(now_ms=now_ms) == []
+    (dropped,) = targets.expire(now_ms=1_000 + RECOVERY_GRACE_MS)
+    assert dropped.name == "i-1"
+
+
+def test_target_that_registers_again_has_a_grace_period_of_its_own() -> None:
+    targets = TargetList()
+    targets.put(make_target("i-1"))
+    targets.record_store_recovery(now_ms=1_000)
+    assert targets.remove("i-1", now_ms=1_010) is None
+    targets.put(make_target("i-1"))
+    targets.record_store_recovery(now_ms=2_000)
+    assert targets.remove("i-1", now_ms=2_010) is None
+    assert targets.expire(now_ms=1_000 + RECOVERY_GRACE_MS) == []
+    (dropped,) = targets.expire(now_ms=2_000 + RECOVERY_GRACE_MS)
+    assert dropped.name == "i-1"
+
+
 def test_leaving_target_has_no_grace_period() -> None:
     targets = TargetList()
     targets.put(make_target("i-1", leaving=True))
