Don't take a watch that is cut for an outage of the store

Cause: a read that failed later than 0.6 s after the last response counted as an outage. A watch waits for longer than that, and the store may cut it, so each cut and the next event looked like an outage and its end, with a grace period for missing targets.

Change: a watch that is cut is followed by a read without a wait. The store counts as lost if that one fails, which tells something about now.

--- a/pistachiohaven/components/gateway/_store_watch.py
+++ b/pistachiohaven/components/gateway/_store_watch.py
@@ -16,8 +16,8 @@
 from .const import (
     CONFIG_CONFIRM_AFTER_MS,
     CONFIRMATION_PAUSE_MS,
-    LIST_CONFIRM_WAIT_MS,
     MAX_CONFIRMATION_CALLS,
+    NO_WAIT_MS,
     PEER_AHEAD_MS,
     PEER_READ_TIMEOUT_MS,
     PEER_TRANSFER_MS,
@@ -108,6 +108,7 @@
     async def run(self) -> None:
         """Read the store in full, then watch it; runs until cancelled."""
         while True:
+            is_waiting = self._is_synced and not self._failures
             result = await (
                 self._watch_changes() if self._is_synced else self._load_all()
             )
@@ -119,7 +120,7 @@
             self._failures += 1
             if result.err_value is platform.StoreError.HISTORY_GONE:
                 self._failures = 1
-            self._record_failure(result.err_value)
+            self._record_failure(result.err_value, is_waiting=is_waiting)
             pause_ms = min(
                 STORE_RETRY_DELAY_MS << (self._failures - 1), STORE_RETRY_MAX_DELAY_MS
             )
@@ -258,7 +259,8 @@
         """Wait for changes and apply them.
 
         The wait is shorter if the configuration was last known to be the newest some
-        time ago, as after a failed read or a late change. If the store has discarded
+        time ago, as after a late change. After a failed read there is no wait, so that
+        the response tells whether the store is available. If the store has discarded
         the history needed, or the changes are too large for one response, the next read
         is a full one.
         """
@@ -267,6 +269,8 @@
         sent_ms = state.clock.now_ms()
         age_ms = state.config_age_ms() or 0
         wait_ms = max(STORE_WATCH_WAIT_MS - age_ms, STORE_WATCH_MIN_WAIT_MS)
+        if self._failures:
+            wait_ms = NO_WAIT_MS
         result = await self._store.watch("", after=after, wait_ms=wait_ms)
         if isinstance(result, Err):
             if result.err_value in _NEEDS_FULL_READ:
@@ -289,7 +293,7 @@
         state = self._state
         after = self._watch_revision
         sent_ms = state.clock.now_ms()
-        result = await self._store.watch("", after=after, wait_ms=LIST_CONFIRM_WAIT_MS)
+        result = await self._store.watch("", after=after, wait_ms=NO_WAIT_MS)
         if isinstance(result, Err):
             state.log.info(
                 "list_not_confirmed",
@@ -298,7 +302,7 @@
             )
             return
         self._apply_watched(
-            result.ok_value, after=after, sent_ms=sent_ms, wait_ms=LIST_CONFIRM_WAIT_MS
+            result.ok_value, after=after, sent_ms=sent_ms, wait_ms=NO_WAIT_MS
         )
         self._record_success()
 
@@ -361,7 +365,11 @@
         self._is_store_lost = False
         state.last_store_response_ms = state.clock.now_ms()
 
-    def _record_failure(self, error: platform.StoreError) -> None:
+    def _record_failure(self, error: platform.StoreError, *, is_waiting: bool) -> None:
+        """Log a failed read; the store is lost if it has been silent for some time.
+
+        A watch that was cut while it waited is no sign of that: the next read tells.
+        """
         state = self._state
         if error is platform.StoreError.HISTORY_GONE:
             state.log.info("store_history_gone", revision=state.catalogue.revision)
@@ -369,6 +377,9 @@
         if error is platform.StoreError.TOO_LARGE:
             state.log.info("store_answer_too_large", revision=state.catalogue.revision)
         age_ms = state.store_response_age_ms()
+        if is_waiting and error is platform.StoreError.CUT:
+            state.log.info("store_watch_cut", silent_ms=age_ms)
+            return
         state.log.info("store_read_failed", error=error, silent_ms=age_ms)
         if not self._is_store_lost and (age_ms is None or age_ms > STORE_LOST_AFTER_MS):
             self._is_store_lost = True
--- a/pistachiohaven/components/gateway/const.py
+++ b/pistachiohaven/components/gateway/const.py
@@ -178,7 +178,7 @@
 The first wait for them and all queries of peers fit into it.
 """
 
-LIST_CONFIRM_WAIT_MS: Final = 1
+NO_WAIT_MS: Final = 1
 """Wait of a watch that only reads the changes up to now."""
 
 ORIGIN_RETRY_AFTER_MS: Final = 500
--- a/pistachiohaven/platform/_store.py
+++ b/pistachiohaven/platform/_store.py
@@ -32,10 +32,12 @@
     revision, or that it was restored from a copy meanwhile. `UNREADABLE` means that a
     response could not be decoded or a list has more than `PAGE_LIMIT` pages. `REFUSED`
     is a response with another unexpected status. `TOO_LARGE` means that a response or a
-    list exceeds `MAX_CONTENT_BYTES`.
+    list exceeds `MAX_CONTENT_BYTES`. `CUT` means that the connection ended without a
+    response, as the store may end that of a watch that waits.
     """
 
     UNREACHABLE = "unreachable"
+    CUT = "cut"
     TIMEOUT = "timeout"
     REFUSED = "refused"
     HISTORY_GONE = "history_gone"
@@ -298,6 +300,7 @@
 
 
 _CALL_ERRORS = {
+    CallError.BROKEN: StoreError.CUT,
     CallError.TIMEOUT: StoreError.TIMEOUT,
     CallError.TOO_LARGE: StoreError.TOO_LARGE,
 }
--- a/tests/components/gateway/test_store_watch.py
+++ b/tests/components/gateway/test_store_watch.py
@@ -3,6 +3,7 @@
 A stand-in answers the calls of the store and of peers in virtual time, without sockets.
 """
 
+import functools
 import math
 import random
 from collections.abc import Awaitable, Callable
@@ -46,7 +47,8 @@
     """Gateway without sockets, its store, and a peer that knows the store's content.
 
     Calls of the store hang while `is_silent`; those that are pending when it is set
-    are never answered. While `is_refused`, new ones are answered with 503.
+    are never answered. While `is_refused`, new ones are answered with 503. Watches that
+    wait are cut after `cut_after_ms`, if that is set.
     """
 
     def __init__(self, *, name: str = "gateway") -> None:
@@ -67,6 +69,8 @@
         self._silenced = trio.Event()
         self.is_silent = False
         self.is_refused = False
+        self.cut_after_ms: float | None = None
+        self.cuts = 0
         self._app = GatewayApp(state=self.state, pool=ConnectionPool(clock=clock))
 
     @property
@@ -108,7 +112,10 @@
             if self.is_silent:
                 await trio.sleep_forever()
             await trio.sleep(0.002)
-            status, body = await self.store.answer(path)
+            response = await self._answer_or_cut(path)
+            if response is None:
+                return Err(CallError.BROKEN)
+            status, body = response
             await trio.sleep(0.002)
             if silenced.is_set():
                 await trio.sleep_forever()
@@ -120,6 +127,13 @@
             return Ok(Response(status=status, headers=headers, body=body))
         return Err(CallError.TIMEOUT)
 
+    async def _answer_or_cut(self, path: str) -> tuple[int, bytes] | None:
+        cut_after_ms = math.inf if self.cut_after_ms is None else self.cut_after_ms
+        with trio.move_on_after(cut_after_ms / 1_000):
+            return await self.store.answer(path)
+        self.cuts += 1
+        return None
+
     async def ask(self, path: str) -> int:
         """Send a caller's request without a matching target; return the status."""
         statuses: list[int] = []
@@ -407,6 +421,80 @@
     run_node(monkeypatch, test)
 
 
+def put_target(node: Node, name: str) -> None:
+    entry = {"service": "p", "address": "10.1.0.1:1", "slots": 1, "state": "ready"}
+    node.store.put(f"servers/{name}", entry)
+
+
+async def wait_until_gone(node: Node, name: str, *, timeout_ms: float) -> None:
+    """Wait as the gateway does, which removes missing targets periodically."""
+    with trio.move_on_after(timeout_ms / 1_000):
+        while node.state.targets.get(name) is not None:
+            await trio.sleep(0.02)
+            node.state.expire_targets()
+    assert node.state.targets.get(name) is None, f"listed after {timeout_ms} ms"
+
+
+@pytest.mark.parametrize("seed", range(8))
+def test_removed_targets_are_dropped_at_once_while_watches_are_cut(
+    monkeypatch: pytest.MonkeyPatch, seed: int
+) -> None:
+    """Each cut watch was taken for an outage, and its end kept removed targets."""
+    rng = random.Random(seed)
+    names = [f"i-{number}" for number in range(6)]
+
+    async def test(node: Node) -> None:
+        node.state.rng.seed(seed)
+        for name in names:
+            put_target(node, name)
+        node.cut_after_ms = rng.uniform(300, 1_800)
+        await trio.sleep(STABLE_MS / 1_000)
+        async with trio.open_nursery() as nursery:
+            for name in names:
+                node.store.delete(f"servers/{name}")
+                nursery.start_soon(
+                    functools.partial(wait_until_gone, node, name, timeout_ms=500)
+                )
+                await trio.sleep(rng.uniform(0.2, 2))
+        assert node.cuts
+
+    run_node(monkeypatch, test)
+
+
+@pytest.mark.parametrize("has_cut", [False, True])
+def test_targets_that_expire_during_an_outage_stay_listed_until_they_register(
+    monkeypatch: pytest.MonkeyPatch, has_cut: bool
+) -> None:
+    """The outage may begin with the cut of the watch that waits."""
+
+    async def test(node: Node) -> None:
+        put_target(node, "i-0")
+        put_target(node, "i-1")
+        await trio.sleep(STABLE_MS / 1_000)
+        if has_cut:
+            node.cut_after_ms = 0
+            node.store.put("op/unrelated", b"")
+            await trio.sleep(0.02)
+            assert node.cuts
+        node.is_refused = True
+        await trio.sleep(5)
+        node.store.delete("servers/i-0")
+        node.store.delete("servers/i-1")
+        node.cut_after_ms = None
+        node.is_refused = False
+        for _ in range(15):
+            await trio.sleep(0.1)
+            node.state.expire_targets()
+            assert node.state.targets.get("i-0") is not None
+        put_target(node, "i-0")
+        await wait_until_gone(node, "i-1", timeout_ms=STABLE_MS - 1_500)
+        await trio.sleep(STABLE_MS / 1_000)
+        node.state.expire_targets()
+        assert node.state.targets.get("i-0") is not None
+
+    run_node(monkeypatch, test)
+
+
 def test_empty_response_of_the_store_is_not_taken_for_an_absent_configuration(
     monkeypatch: pytest.MonkeyPatch,
 ) -> None:
