Take no head that holds the start of a second response

Cause: a late second response may be cut short within its head, and the next response on the connection follows at once. Parsed as one head, the two have the status and first headers of the earlier response and the id and signature of the next one, so every check of the id passes. A cut 421 or a cut refusal said that the request had not run, and a cut success in front of a failure made a success of it.

Change: a head in whose reason or values another status line begins is no valid head. The gateway takes the outcome as unknown; all other clients raise a protocol error.

--- a/pistachiohaven/components/gateway/_dispatch.py
+++ b/pistachiohaven/components/gateway/_dispatch.py
@@ -11,7 +11,12 @@
 from pistachiohaven.components.placement import TargetLoad
 from pistachiohaven.components.quarantine import PROOF_AGE_MS
 from pistachiohaven.components.retry import Failure
-from pistachiohaven.components.web import EndlessResponseError, Pacer, iter_body
+from pistachiohaven.components.web import (
+    EndlessResponseError,
+    Pacer,
+    find_fault,
+    iter_body,
+)
 from pistachiohaven.helpers import Clock
 
 from ._call import Call
@@ -301,17 +306,16 @@
         content coding. On a reused connection each response must carry the id: it may
         be that of an earlier request, once more.
         """
+        fault = find_fault(head.response)
+        if fault is not None:
+            return fault
         attempt_id = platform.find_attempt_id(head.headers)
-        if attempt_id is not None and attempt_id != self._call.head.attempt_id:
-            return "answer of another request"
         if attempt_id is None and is_reused:
             return "answer of no known request"
-        if head.status not in SUCCESS_STATUSES:
-            return None
-        if attempt_id is None or not platform.is_stamped(head.headers):
-            return "answer without signature"
-        if any(name == b"content-encoding" for name, _ in head.headers):
-            return "answer with an encoding"
+        if attempt_id is not None and attempt_id != self._call.head.attempt_id:
+            return "answer of another request"
+        if head.status in SUCCESS_STATUSES:
+            return _check_success(head)
         return None
 
     async def _read_complete(
@@ -462,3 +466,13 @@
         return FailedDispatch(
             failure=self._interruption_failure(), detail=detail, is_cut=is_cut
         )
+
+
+def _check_success(head: ResponseHead) -> str | None:
+    """Return why the head of a success is invalid, None if it is valid."""
+    has_id = platform.find_attempt_id(head.headers) is not None
+    if not has_id or not platform.is_stamped(head.headers):
+        return "answer without signature"
+    if any(name == b"content-encoding" for name, _ in head.headers):
+        return "answer with an encoding"
+    return None
--- a/pistachiohaven/components/web/__init__.py
+++ b/pistachiohaven/components/web/__init__.py
@@ -15,6 +15,7 @@
     start_response,
 )
 from ._client import CallError, call, make_connection_pool
+from ._integrity import find_fault
 from ._metered import (
     EndlessResponseError,
     MeteredBackend,
@@ -44,6 +45,7 @@
     "Server",
     "ServerOptions",
     "call",
+    "find_fault",
     "has_caller_left",
     "has_known_end",
     "iter_body",
--- a/pistachiohaven/components/web/_metered.py
+++ b/pistachiohaven/components/web/_metered.py
@@ -15,6 +15,7 @@
 
 from pistachiohaven.helpers import ComponentLogger
 
+from ._integrity import find_fault
 from .const import (
     BODILESS_STATUSES,
     HEAD_READ_BYTES,
@@ -193,9 +194,12 @@
 
     Chunks count as pieces at `pacer`. Raises EndlessResponseError if hardly anything
     but framing arrives, and one of httpcore's other exceptions if the connection fails
-    before the end.
+    before the end or the head is not valid.
     """
     pacer = pacer or Pacer()
+    fault = find_fault(response)
+    if fault is not None:
+        raise httpcore.RemoteProtocolError(fault)
     stream = response.extensions["network_stream"]
     if not isinstance(stream, MeteredStream):
         raise httpcore.RemoteProtocolError("change of protocol")
