Don't take a reset during the request for the end of the response

Cause: a target that answers before it has read a long request, and then resets the connection, makes the gateway's write fail. httpcore ignores that and reads the response. The system reports the error of a connection once, to the write, so the reads end as if the target had closed the connection, which is the end of a response without a length or chunks.

Change: a failed write is remembered by the stream. A response whose end only the end of the connection could tell is then not whole; a refusal still counts, as its head says all. The clients that read a whole content raise a read error.

--- a/pistachiohaven/components/gateway/_dispatch.py
+++ b/pistachiohaven/components/gateway/_dispatch.py
@@ -15,6 +15,7 @@
     EndlessResponseError,
     Pacer,
     find_fault,
+    is_request_cut,
     iter_body,
 )
 from pistachiohaven.helpers import Clock
@@ -55,6 +56,9 @@
 A target that ends right after the head of a response of unknown length leaves the same.
 """
 
+REQUEST_CUT = "reset before the request was sent"
+"""Detail of a response whose end may be that of a connection that was reset."""
+
 
 class StreamSink(Protocol):
     """Receiver of the events of a stream, on behalf of the caller."""
@@ -333,8 +337,12 @@
                     has_responded=True,
                 )
             chunks.append(chunk)
-        if head.status in SUCCESS_STATUSES and not chunks and not head.has_known_end:
-            return self._interrupted(NO_BODY, is_cut=True)
+        is_rejected = platform.never_ran(head.status, head.headers)
+        if not head.has_known_end and not is_rejected:
+            if is_request_cut(head.response):
+                return self._interrupted(REQUEST_CUT, is_cut=True)
+            if head.status in SUCCESS_STATUSES and not chunks:
+                return self._interrupted(NO_BODY, is_cut=True)
         await self._release_connection(connection, head)
         response = CompleteResponse(
             status=head.status,
@@ -342,7 +350,7 @@
             body=b"".join(chunks),
             has_known_end=head.has_known_end,
         )
-        if platform.never_ran(head.status, head.headers):
+        if is_rejected:
             return FailedDispatch(
                 failure=Failure.NEVER_RAN,
                 detail=f"status {head.status}",
@@ -414,8 +422,11 @@
             return FailedDispatch(
                 failure=Failure.BROKEN, detail="cut within an event", is_cut=True
             )
-        if not self._event_count and not head.has_known_end:
-            return self._interrupted(NO_BODY, is_cut=True)
+        if not head.has_known_end:
+            if is_request_cut(head.response):
+                return self._interrupted(REQUEST_CUT, is_cut=True)
+            if not self._event_count:
+                return self._interrupted(NO_BODY, is_cut=True)
         await self._release_connection(connection, head)
         return CompletedStream(has_known_end=head.has_known_end)
 
--- a/pistachiohaven/components/web/_metered.py
+++ b/pistachiohaven/components/web/_metered.py
@@ -80,7 +80,9 @@
 class MeteredStream(httpcore.AsyncNetworkStream):
     """Network stream that limits the bytes and reads of a response's head.
 
-    `body_bytes` counts what was read of the body, with its framing.
+    `body_bytes` counts what was read of the body, with its framing. `is_request_cut`
+    is True if a write has failed: the error of the connection is used up by that, so
+    that reads end as if the server had closed it.
 
     A write begins the next request. All that is read from then on counts as head, with
     interim responses, until `begin_body` is called.
@@ -91,6 +93,7 @@
         self._left_bytes = MAX_HEAD_BYTES
         self._max_read_bytes = HEAD_READ_BYTES
         self.body_bytes = 0
+        self.is_request_cut = False
 
     def begin_body(self) -> None:
         """End the limit on the head, which is complete."""
@@ -114,7 +117,11 @@
         """Send `buffer`."""
         self._left_bytes = MAX_HEAD_BYTES
         self._max_read_bytes = HEAD_READ_BYTES
-        await self._stream.write(buffer, timeout)
+        try:
+            await self._stream.write(buffer, timeout)
+        except httpcore.WriteError:
+            self.is_request_cut = True
+            raise
 
     async def aclose(self) -> None:
         """Close the stream.
@@ -218,10 +225,21 @@
         yield chunk
 
 
+def is_request_cut(response: httpcore.Response) -> bool:
+    """Return True if the connection failed while the request was sent.
+
+    httpcore reads the response all the same. If that has no length and no chunks, its
+    end may be that of the connection.
+    """
+    stream = response.extensions["network_stream"]
+    return isinstance(stream, MeteredStream) and stream.is_request_cut
+
+
 async def iter_content(response: httpcore.Response) -> AsyncIterator[bytes]:
     """Yield the body of a response on a metered stream, up to `MAX_CONTENT_BYTES`.
 
-    Raises ContentTooLargeError beyond that, and what `iter_body` raises.
+    Raises ContentTooLargeError beyond that, ReadError if its end is not known, and what
+    `iter_body` raises.
     """
     size_bytes = 0
     async for chunk in iter_body(response):
@@ -229,6 +247,9 @@
         if size_bytes > MAX_CONTENT_BYTES:
             raise ContentTooLargeError("content too large")
         yield chunk
+    names = [name.lower() for name, _ in response.headers]
+    if is_request_cut(response) and not has_known_end(response.status, names):
+        raise httpcore.ReadError("reset before the request was sent")
 
 
 async def read_content(response: httpcore.Response) -> bytes:
--- a/tests/components/gateway/test_unframed_responses.py
+++ b/tests/components/gateway/test_unframed_responses.py
@@ -4,6 +4,7 @@
 import struct
 from collections.abc import AsyncIterator, Awaitable, Callable
 
+import h11
 import pytest
 import trio
 
@@ -118,6 +119,41 @@
     assert (await harness.call("/once/x")).status == 502
 
 
+async def read_head_only(
+    connection: h11.Connection, stream: trio.SocketStream
+) -> ReceivedRequest | None:
+    """Read a request up to its body, which stays unread."""
+    while (event := connection.next_event()) is h11.NEED_DATA:
+        connection.receive_data(await stream.receive_some())
+    if not isinstance(event, h11.Request):
+        return None
+    headers = {name.decode(): value.decode() for name, value in event.headers}
+    return ReceivedRequest(
+        method=event.method.decode(),
+        target=event.target.decode(),
+        headers=headers,
+        body=b"",
+    )
+
+
+@pytest.mark.parametrize("path", ["/once/x", "/stream-once/x"])
+def test_body_that_is_reset_before_its_request_was_read_is_not_complete(
+    path: str, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """The failed write used up the error, and the reset looked like the end."""
+
+    @with_harness()
+    async def run_test(harness: GatewayHarness) -> None:
+        for target in harness.targets:
+            monkeypatch.setattr(target, "_read", read_head_only)
+        parts = pieces(EVENTS[0], EVENTS[1])
+        script_first_requests(harness, respond_unframed(harness, parts, is_reset=True))
+        response = await harness.call(path, body=b"x" * 2_000_000)
+        assert response.status != 200 or not response.is_complete
+
+    run_test()
+
+
 @with_harness(targets=1)
 async def test_connection_without_a_known_end_is_never_used_again(
     harness: GatewayHarness,
