Close a connection that brought more than its response

Callers got 502 for requests that a target ran and answered; clients of the store, of peers and of engines took an old response for a new one.

Cause: a second response that arrives with the first one stays in the parser's buffer. Only the socket was looked at before a connection was used again, so the next request on it "received" that response: the id told the gateway so after it had sent the request, and the other clients have no id to tell it by.

Change: the gateway closes a connection with bytes beyond the response instead of keeping it. For all clients, a response of which no byte was read since the request was written is a protocol error.

--- a/pistachiohaven/components/gateway/_connections.py
+++ b/pistachiohaven/components/gateway/_connections.py
@@ -44,6 +44,12 @@
     idle_since_ms: int = 0
     max_idle_ms: int = DEFAULT_MAX_IDLE_MS
 
+    @property
+    def unread_bytes(self) -> bytes:
+        """Return what was read beyond the last response."""
+        unread_bytes, _ = self.http._h11_state.trailing_data
+        return unread_bytes
+
 
 @dataclass(frozen=True, slots=True, kw_only=True)
 class ResponseHead:
@@ -92,10 +98,15 @@
     async def release(self, connection: Connection, headers: Headers) -> None:
         """Return a connection with a complete response to the pool.
 
-        It is closed if the target closes it or the pool has enough idle ones.
+        It is closed if the target closes it, has sent more than the response, or the
+        pool has enough idle ones.
         """
         idle = self._idle.setdefault(connection.address, [])
-        if not connection.http.is_idle() or len(idle) >= MAX_IDLE_PER_TARGET:
+        if (
+            not connection.http.is_idle()
+            or connection.unread_bytes
+            or len(idle) >= MAX_IDLE_PER_TARGET
+        ):
             await self.close(connection)
             return
         connection.idle_since_ms = self._clock.now_ms()
--- a/pistachiohaven/components/web/_metered.py
+++ b/pistachiohaven/components/web/_metered.py
@@ -82,7 +82,8 @@
 
     `body_bytes` counts what was read of the body, with its framing. `is_request_cut`
     is True if a write has failed: the error of the connection is used up by that, so
-    that reads end as if the server had closed it.
+    that reads end as if the server had closed it. `has_read` is True if something was
+    read since the last write.
 
     A write begins the next request. All that is read from then on counts as head, with
     interim responses, until `begin_body` is called.
@@ -94,6 +95,7 @@
         self._max_read_bytes = HEAD_READ_BYTES
         self.body_bytes = 0
         self.is_request_cut = False
+        self.has_read = False
 
     def begin_body(self) -> None:
         """End the limit on the head, which is complete."""
@@ -110,6 +112,7 @@
             raise EndlessResponseError("head without end")
         data = await self._stream.read(min(max_bytes, self._max_read_bytes), timeout)
         self._left_bytes -= len(data) + READ_COST_BYTES
+        self.has_read = True
         self.body_bytes += len(data)
         return data
 
@@ -117,6 +120,7 @@
         """Send `buffer`."""
         self._left_bytes = MAX_HEAD_BYTES
         self._max_read_bytes = HEAD_READ_BYTES
+        self.has_read = False
         try:
             await self._stream.write(buffer, timeout)
         except httpcore.WriteError:
@@ -210,6 +214,8 @@
     stream = response.extensions["network_stream"]
     if not isinstance(stream, MeteredStream):
         raise httpcore.RemoteProtocolError("change of protocol")
+    if not stream.has_read:
+        raise httpcore.RemoteProtocolError("response before its request")
     stream.begin_body()
     chunks = 0
     size_bytes = 0
--- a/tests/components/gateway/test_repeated_refusals.py
+++ b/tests/components/gateway/test_repeated_refusals.py
@@ -15,6 +15,7 @@
     answer,
     run_scripted,
     signed,
+    stream_events,
 )
 from .stand_ins import encode_response
 
@@ -113,3 +114,35 @@
 
 def test_refusal_of_the_request_itself_counts_on_a_kept_connection() -> None:
     run_scripted(refuse_twice)
+
+
+async def answer_twice_at_once(path: str, first: Step) -> None:
+    def twice(headers: dict[str, str]) -> Output:
+        return [
+            b"".join(part for part in first(headers) if isinstance(part, bytes)) * 2
+        ]
+
+    gateway = ScriptedGateway(twice, answer(200, b"own"), targets=1)
+    async with trio.open_nursery() as nursery:
+        nursery.start_soon(gateway.state.placer.run)
+        await gateway.call(path)
+        await trio.sleep(1)
+        recorded = await gateway.call("/once/x")
+        assert (recorded.status, recorded.body) == (200, b"own")
+        nursery.cancel_scope.cancel()
+
+
+@pytest.mark.parametrize(
+    ("path", "first"),
+    [
+        ("/once/x", refuse),
+        ("/once/x", answer(200)),
+        ("/again/x", answer(404)),
+        ("/stream-again/x", stream_events(1, 2)),
+    ],
+)
+def test_second_response_that_was_read_with_the_first_costs_no_caller(
+    path: str, first: Step
+) -> None:
+    """It was taken for the response to the next request on the connection."""
+    run_scripted(functools.partial(answer_twice_at_once, path, first))
