Take no body that a second response has completed

Callers could get a success whose body was the start of the target's response and the head of another one (MIXED).

Cause: a target may stop within a body, and send the response again on the same connection. The missing bytes of the body are then the first ones of the second response, and the length is right. Where only the end of the connection ends a body or a stream, a second response becomes a part of it.

Change: a response with the attempt id within a body or an event, or across the end of a body, means that it is not whole: the outcome is unknown, and a stream is resumed or cut. At most 16 status lines of a body are looked at.

--- a/pistachiohaven/components/gateway/_dispatch.py
+++ b/pistachiohaven/components/gateway/_dispatch.py
@@ -59,6 +59,9 @@
 REQUEST_CUT = "reset before the request was sent"
 """Detail of a response whose end may be that of a connection that was reset."""
 
+TWO_RESPONSES = "two responses in one body"
+"""Detail of a response whose body contains the head of another one."""
+
 
 class StreamSink(Protocol):
     """Receiver of the events of a stream, on behalf of the caller."""
@@ -337,17 +340,16 @@
                     has_responded=True,
                 )
             chunks.append(chunk)
+        body = b"".join(chunks)
         is_rejected = platform.never_ran(head.status, head.headers)
-        if not head.has_known_end and not is_rejected:
-            if is_request_cut(head.response):
-                return self._interrupted(REQUEST_CUT, is_cut=True)
-            if head.status in SUCCESS_STATUSES and not chunks:
-                return self._interrupted(NO_BODY, is_cut=True)
+        cut = None if is_rejected else self._find_cut(connection, head, body)
+        if cut is not None:
+            return cut
         await self._release_connection(connection, head)
         response = CompleteResponse(
             status=head.status,
             headers=platform.response_headers(head.headers),
-            body=b"".join(chunks),
+            body=body,
             has_known_end=head.has_known_end,
         )
         if is_rejected:
@@ -390,6 +392,7 @@
         ):
             try:
                 events = self._splitter.feed(chunk)
+                _check_events(events)
                 new_events = self._filter.select(events)
             except ValueError as error:
                 return FailedDispatch(
@@ -418,17 +421,39 @@
                 now_ms=self._clock.now_ms(),
             )
             await self._sink.send_events(new_events)
+        cut = self._find_stream_cut(head)
+        if cut is not None:
+            return cut
+        await self._release_connection(connection, head)
+        return CompletedStream(has_known_end=head.has_known_end)
+
+    def _find_cut(
+        self, connection: Connection, head: ResponseHead, body: bytes
+    ) -> FailedDispatch | None:
+        """Return the failure of a response whose body is not whole, or None."""
+        if _ends_within(body, connection.unread_bytes):
+            return self._merged()
+        if head.has_known_end:
+            return None
+        if is_request_cut(head.response):
+            return self._interrupted(REQUEST_CUT, is_cut=True)
+        if head.status in SUCCESS_STATUSES and not body:
+            return self._interrupted(NO_BODY, is_cut=True)
+        return None
+
+    def _find_stream_cut(self, head: ResponseHead) -> FailedDispatch | None:
+        """Return the failure of a stream that has ended, None if it is whole."""
         if self._splitter.has_partial_event:
             return FailedDispatch(
                 failure=Failure.BROKEN, detail="cut within an event", is_cut=True
             )
-        if not head.has_known_end:
-            if is_request_cut(head.response):
-                return self._interrupted(REQUEST_CUT, is_cut=True)
-            if not self._event_count:
-                return self._interrupted(NO_BODY, is_cut=True)
-        await self._release_connection(connection, head)
-        return CompletedStream(has_known_end=head.has_known_end)
+        if head.has_known_end:
+            return None
+        if is_request_cut(head.response):
+            return self._interrupted(REQUEST_CUT, is_cut=True)
+        if not self._event_count:
+            return self._interrupted(NO_BODY, is_cut=True)
+        return None
 
     def _check_proof(self) -> None:
         """Call `on_proof` once the response has gone on for `PROOF_AGE_MS`."""
@@ -472,6 +497,14 @@
         )
         return Failure.BROKEN if has_response_started else Failure.NO_ANSWER
 
+    def _merged(self) -> FailedDispatch:
+        """Return the result of an exchange whose content holds a second response."""
+        return FailedDispatch(
+            failure=self._interruption_failure(),
+            detail=TWO_RESPONSES,
+            has_responded=True,
+        )
+
     def _interrupted(self, detail: str, *, is_cut: bool = False) -> FailedDispatch:
         """Return the result of an exchange that ended before its response did."""
         return FailedDispatch(
@@ -479,6 +512,22 @@
         )
 
 
+def _check_events(events: list[Event]) -> None:
+    """Raise ValueError if an event contains the head of another response."""
+    if any(platform.find_response(event.data) is not None for event in events):
+        raise ValueError(TWO_RESPONSES)
+
+
+def _ends_within(body: bytes, unread_bytes: bytes) -> bool:
+    """Return True if a second response begins within `body`, which took its bytes.
+
+    A target may end within a body and send another response on the same connection,
+    whose first bytes then complete the body. `unread_bytes` are those after it.
+    """
+    begin = platform.find_response(body + unread_bytes)
+    return begin is not None and begin < len(body)
+
+
 def _check_success(head: ResponseHead) -> str | None:
     """Return why the head of a success is invalid, None if it is valid."""
     has_id = platform.find_attempt_id(head.headers) is not None
--- a/pistachiohaven/platform/_calls.py
+++ b/pistachiohaven/platform/_calls.py
@@ -1,8 +1,10 @@
 """Decoding and encoding of the heads of requests and responses."""
 
 import math
+import re
 from dataclasses import dataclass
 from enum import StrEnum
+from itertools import islice
 
 from result import Err, Ok, Result
 
@@ -257,6 +259,22 @@
     return None
 
 
+_STATUS_LINE = re.compile(rb"HTTP/\d\.\d \d{3}")
+
+
+def find_response(content: bytes) -> int | None:
+    """Return where the head of a target's response begins within `content`, or None.
+
+    Only the first `MAX_STATUS_LINES` status lines are looked at.
+    """
+    for match in islice(_STATUS_LINE.finditer(content), wire.MAX_STATUS_LINES):
+        begin = match.start()
+        head = content[begin : begin + wire.MAX_INNER_HEAD_BYTES].lower()
+        if wire.ATTEMPT_ID + b":" in head.partition(b"\r\n\r\n")[0]:
+            return begin
+    return None
+
+
 def decode_leaving(headers: Headers) -> bool:
     """Return True if the target that responds says that it leaves.
 
--- a/pistachiohaven/platform/const.py
+++ b/pistachiohaven/platform/const.py
@@ -126,3 +126,9 @@
 
 MAX_NUMBER: Final = 2**53 - 1
 """Largest number that callers and targets may name; it stays exact as a float."""
+
+MAX_STATUS_LINES: Final = 16
+"""Status lines within the content of a response that are looked at."""
+
+MAX_INNER_HEAD_BYTES: Final = 4_096
+"""Bytes of a head within the content of a response that are looked at."""
--- a/tests/components/gateway/test_merged_responses.py
+++ b/tests/components/gateway/test_merged_responses.py
@@ -6,6 +6,7 @@
 """
 
 import pytest
+import trio
 
 from .scripted_targets import (
     Output,
@@ -16,7 +17,10 @@
     signed,
     stream_events,
 )
-from .stand_ins import encode_response
+from .stand_ins import encode_response, event_bytes
+
+BUDGET_S = 20
+"""Time after which a gateway that has just started may repeat requests."""
 
 BODY = b"the response to the request"
 PATHS = ("/once/x", "/again/x", "/stream-once/x")
@@ -85,3 +89,57 @@
             await act(place)
 
     run_scripted(act_at_all_places)
+
+
+def cut_and_repeat(place: int, framing: str) -> Step:
+    """Return a step that ends within a body, and then sends the response again."""
+
+    def step(headers: dict[str, str]) -> Output:
+        response = encode_response(200, BODY, signed(headers))
+        if framing == "no length":
+            response = response.replace(b"content-length: %d\r\n" % len(BODY), b"")
+        return [response[: len(response) - place], response, b""]
+
+    return step
+
+
+@pytest.mark.parametrize("framing", ["length", "no length"])
+@pytest.mark.parametrize("path", ["/once/x", "/again/x"])
+def test_body_is_not_completed_by_a_second_response(path: str, framing: str) -> None:
+    """The caller got the start of one body and the head of another response."""
+
+    async def act() -> None:
+        for place in range(len(BODY)):
+            gateway = ScriptedGateway(cut_and_repeat(place, framing), answer(200))
+            await trio.sleep(BUDGET_S)
+            recorded = await gateway.call(path)
+            expected = {BODY, b"body"} if "again" in path else {BODY, b""}
+            assert recorded.body in expected, (place, recorded)
+
+    run_scripted(act)
+
+
+def test_stream_is_not_continued_by_a_second_response() -> None:
+    """Its last event got the head and the first event of another response."""
+
+    def step(headers: dict[str, str]) -> Output:
+        (response, _) = stream_events(1, 2, 3)(headers)
+        assert isinstance(response, bytes)
+        response = response.replace(b"transfer-encoding: chunked\r\n", b"")
+        head, _, chunk = response.partition(b"\r\n\r\n")
+        events = chunk.partition(b"\r\n")[2].removesuffix(b"\r\n")
+        response = head + b"\r\n\r\n" + events
+        return [response[:-3], response, b""]
+
+    async def act() -> None:
+        gateway = ScriptedGateway(step, stream_events(3, 4))
+        await trio.sleep(BUDGET_S)
+        recorded = await gateway.call("/stream-again/x")
+        assert recorded.is_complete
+        assert recorded.body == b"".join(event_bytes(n) for n in (1, 2, 3, 4))
+        gateway = ScriptedGateway(step)
+        recorded = await gateway.call("/stream-once/x")
+        assert recorded.is_broken
+        assert recorded.body == b"".join(event_bytes(n) for n in (1, 2))
+
+    run_scripted(act)
