Send a request again only on a connection that has not carried it

Cause: the id in a response tells requests apart, but not two dispatches of one request. A stream that has begun may go on at a target that rejected it before, over the same connection. A late second copy of that rejection has the stream's own id and was taken for the response to the next dispatch, while the target ran it.

Change: a connection that has carried a request is not used for it again. It stays open for other requests, whose ids tell the copy apart.

--- a/pistachiohaven/components/gateway/_connections.py
+++ b/pistachiohaven/components/gateway/_connections.py
@@ -1,5 +1,6 @@
 """Connections to targets, and HTTP exchanges on them."""
 
+from collections.abc import Collection
 from dataclasses import dataclass
 
 import httpcore
@@ -34,13 +35,15 @@
 class Connection:
     """Connection to a target.
 
-    `is_new` is False if the connection was reused. `idle_since_ms` is the monotonic
-    time of its last use, `max_idle_ms` how long it may stay idle.
+    `number` is its own in its pool. `is_new` is False if the connection was reused.
+    `idle_since_ms` is the monotonic time of its last use, `max_idle_ms` how long it may
+    stay idle.
     """
 
     http: httpcore.AsyncHTTP11Connection
     address: str
     is_new: bool
+    number: int
     idle_since_ms: int = 0
     max_idle_ms: int = DEFAULT_MAX_IDLE_MS
 
@@ -79,15 +82,16 @@
         self._idle: dict[str, list[Connection]] = {}
         self.opened_count = 0
 
-    async def acquire(self, address: str) -> Result[Connection, str]:
-        """Return an idle or new connection to `address`.
+    async def acquire(
+        self, address: str, *, excluded_numbers: Collection[int] = ()
+    ) -> Result[Connection, str]:
+        """Return an idle or new connection to `address`, none of the excluded ones.
 
         An error is the name of the exception raised on connecting; no request was sent.
         """
         now_ms = self._clock.now_ms()
         idle = self._idle.get(address, [])
-        while idle:
-            connection = idle.pop()
+        while (connection := _take(idle, excluded_numbers)) is not None:
             age_ms = now_ms - connection.idle_since_ms
             if age_ms < connection.max_idle_ms and not connection.http.has_expired():
                 connection.is_new = False
@@ -142,6 +146,7 @@
     async def _open(self, address: str) -> Result[Connection, str]:
         host, _, port = address.rpartition(":")
         self.opened_count += 1
+        number = self.opened_count
         try:
             stream = await self._backend.connect_tcp(
                 host, int(port), timeout=CONNECT_TIMEOUT_MS / MS_PER_S
@@ -150,7 +155,17 @@
             return Err(type(error).__name__)
         origin = httpcore.Origin(b"http", host.encode(), int(port))
         http = httpcore.AsyncHTTP11Connection(origin=origin, stream=stream)
-        return Ok(Connection(http=http, address=address, is_new=True))
+        return Ok(Connection(http=http, address=address, is_new=True, number=number))
+
+
+def _take(
+    connections: list[Connection], excluded_numbers: Collection[int]
+) -> Connection | None:
+    """Remove and return the last connection that is not excluded, None if all are."""
+    for index in reversed(range(len(connections))):
+        if connections[index].number not in excluded_numbers:
+            return connections.pop(index)
+    return None
 
 
 async def send_request(
--- a/pistachiohaven/components/gateway/_dispatch.py
+++ b/pistachiohaven/components/gateway/_dispatch.py
@@ -134,7 +134,9 @@
     be sent after all, None if it is. `may_move` is called with the failure that
     stopping now would be, and returns True if the request can move from a stalled
     target to another one now. `on_first_event`
-    is called before the first event is forwarded. `is_sent` turns True when sending of
+    is called before the first event is forwarded. `used_connections` has the numbers of
+    the connections on which the request was sent before: a late response to it there
+    can't be told from the one to come. `is_sent` turns True when sending of
     the request begins. `is_proof` turns True, and `on_proof` is called, once the
     response has gone on for long enough to show that it does not crash the target.
     """
@@ -147,6 +149,7 @@
         body: bytes,
         load: TargetLoad,
         pool: ConnectionPool,
+        used_connections: set[int],
         sink: StreamSink,
         admit: Callable[[], str | None],
         may_move: Callable[[Failure], bool],
@@ -160,6 +163,7 @@
         self._body = body
         self._load = load
         self._pool = pool
+        self._used_connections = used_connections
         self._clock: Clock = state.clock
         self._sink = sink
         self._stall_monitor = state.stall_monitor
@@ -186,7 +190,9 @@
         """Send the request, forward the response and update the target's load."""
         request_id = self._call.head.attempt_id
         try:
-            acquired = await self._pool.acquire(self._load.target.address)
+            acquired = await self._pool.acquire(
+                self._load.target.address, excluded_numbers=self._used_connections
+            )
         except BaseException:
             self._load.record_cancelled(request_id, now_ms=self._clock.now_ms())
             raise
@@ -281,6 +287,7 @@
             resume_after=self._sink.last_event_id,
         )
         self.is_sent = True
+        self._used_connections.add(connection.number)
         self._stall_detector.arm(timeout_ms=self._first_event_timeout_ms(now_ms=now_ms))
         head = await send_request(
             connection,
--- a/pistachiohaven/components/gateway/_request.py
+++ b/pistachiohaven/components/gateway/_request.py
@@ -77,6 +77,7 @@
         self._body = body
         self._response = response
         self._job: Job = call.job()
+        self._used_connections: set[int] = set()
         self._possible_runs = 0
         self._sent_count = 0
         self._quota_charged_ms: int | None = None
@@ -353,6 +354,7 @@
             body=self._body,
             load=load,
             pool=self._pool,
+            used_connections=self._used_connections,
             sink=self._response,
             admit=partial(self._admit, load, is_hedge=is_hedge),
             may_move=partial(self._may_move, load.target.name),
--- a/tests/components/gateway/scripted_targets.py
+++ b/tests/components/gateway/scripted_targets.py
@@ -91,6 +91,7 @@
                 }
                 self._pool.arrived_ms.append(self._pool.clock.now_ms())
                 self._pool.sent_headers.append(headers)
+                self._pool.last_stream = self
                 self.output += self._pool.steps.pop(0)(headers)
                 self._requests = h11.Connection(h11.SERVER)
                 return
@@ -131,6 +132,7 @@
         self.arrived_ms: list[int] = []
         self.sent_headers: list[dict[str, str]] = []
         self.streams: list[ScriptedStream] = []
+        self.last_stream: ScriptedStream | None = None
 
     async def _open(self, address: str) -> Result[Connection, str]:
         if self.refusals:
@@ -145,7 +147,11 @@
         http = httpcore.AsyncHTTP11Connection(
             origin=origin, stream=MeteredStream(stream)
         )
-        return Ok(Connection(http=http, address=address, is_new=True))
+        return Ok(
+            Connection(
+                http=http, address=address, is_new=True, number=len(self.streams)
+            )
+        )
 
 
 @dataclass(kw_only=True)
--- a/tests/components/gateway/test_histories.py
+++ b/tests/components/gateway/test_histories.py
@@ -8,7 +8,7 @@
 import random
 import sys
 from collections import Counter
-from collections.abc import Callable
+from collections.abc import Callable, Collection
 from dataclasses import dataclass, field
 from typing import Any
 
@@ -218,13 +218,15 @@
         self.scenario: Scenario | None = None
         self._streams: dict[httpcore.AsyncHTTP11Connection, TargetStream] = {}
 
-    async def acquire(self, address: str) -> Result[Connection, str]:
+    async def acquire(
+        self, address: str, *, excluded_numbers: Collection[int] = ()
+    ) -> Result[Connection, str]:
         """Return an idle or new connection, or a connection error."""
         assert self.scenario is not None
         if self.scenario.rng.random() < 0.1:
             self.scenario.faults.append("unreachable")
             return Err("ConnectError")
-        acquired = await super().acquire(address)
+        acquired = await super().acquire(address, excluded_numbers=excluded_numbers)
         if isinstance(acquired, Ok):
             self._streams[acquired.ok_value.http].scenario = self.scenario
         return acquired
@@ -238,7 +240,12 @@
             origin=origin, stream=MeteredStream(stream)
         )
         self._streams[http] = stream
-        return Ok(Connection(http=http, address=address, is_new=True))
+        self.opened_count += 1
+        return Ok(
+            Connection(
+                http=http, address=address, is_new=True, number=self.opened_count
+            )
+        )
 
 
 def make_state(clock: Clock) -> GatewayState:
@@ -377,7 +384,9 @@
 class BlockingPool(FakePool):
     """Connection pool that never returns a connection."""
 
-    async def acquire(self, address: str) -> Result[Connection, str]:
+    async def acquire(
+        self, address: str, *, excluded_numbers: Collection[int] = ()
+    ) -> Result[Connection, str]:
         """Block until cancelled."""
         await trio.sleep_forever()
         raise AssertionError
--- a/tests/components/gateway/test_late_in_drain.py
+++ b/tests/components/gateway/test_late_in_drain.py
@@ -6,6 +6,7 @@
 import signal
 import time
 from collections.abc import Awaitable, Callable
+from typing import Any
 
 import pytest
 import trio
@@ -123,9 +124,9 @@
         gateway = await make_gateway(answer(200), left_ms=4 * RUN_MS)
         acquire = gateway.pool.acquire
 
-        async def acquire_slowly(address: str) -> object:
+        async def acquire_slowly(address: str, **options: Any) -> object:
             await trio.sleep(3.5 * RUN_MS / MS_PER_S)
-            return await acquire(address)
+            return await acquire(address, **options)
 
         gateway.pool.acquire = acquire_slowly  # type: ignore[assignment]
         recorded = await gateway.call("/once/x")
--- a/tests/components/gateway/test_repeated_refusals.py
+++ b/tests/components/gateway/test_repeated_refusals.py
@@ -11,13 +11,15 @@
 from .scripted_targets import (
     Output,
     ScriptedGateway,
+    ScriptedStream,
     Step,
+    TargetEndsError,
     answer,
     run_scripted,
     signed,
     stream_events,
 )
-from .stand_ins import encode_response
+from .stand_ins import encode_response, event_bytes
 
 NOT_RUN = {"pistachiohaven-not-executed": "1"}
 EARLIER_ID = {"pistachiohaven-attempt-id": "0000000000000001"}
@@ -146,3 +148,36 @@
 ) -> None:
     """It was taken for the response to the next request on the connection."""
     run_scripted(functools.partial(answer_twice_at_once, path, first))
+
+
+async def refuse_a_resumed_stream_twice() -> None:
+    refusals: dict[ScriptedStream, bytes] = {}
+
+    def refuse_once(headers: dict[str, str]) -> Output:
+        (refusal,) = refuse(headers)
+        assert isinstance(refusal, bytes)
+        assert gateway.pool.last_stream is not None
+        refusals[gateway.pool.last_stream] = refusal
+        return [refusal]
+
+    def go_on(headers: dict[str, str]) -> Output:
+        assert gateway.pool.last_stream is not None
+        late = refusals.get(gateway.pool.last_stream)
+        return [*([late] if late else []), *stream_events(2, 3)(headers)]
+
+    gateway = ScriptedGateway(
+        stream_events(1, end=[TargetEndsError]), refuse_once, go_on, go_on
+    )
+    await trio.sleep(20)
+    async with trio.open_nursery() as nursery:
+        nursery.start_soon(gateway.state.placer.run)
+        recorded = await gateway.call("/stream-again/x")
+        nursery.cancel_scope.cancel()
+    assert recorded.is_complete
+    assert recorded.body == b"".join(event_bytes(number) for number in (1, 2, 3))
+    assert len(gateway.pool.arrived_ms) == 3
+
+
+def test_late_refusal_of_a_stream_does_not_end_its_next_dispatch() -> None:
+    """It has the id of the stream, which then ran at two targets."""
+    run_scripted(refuse_a_resumed_stream_twice)
--- a/tests/components/gateway/version_simulation.py
+++ b/tests/components/gateway/version_simulation.py
@@ -190,7 +190,12 @@
         origin = httpcore.Origin(b"http", host.encode(), int(port))
         stream = MeteredStream(TargetStream(self._entry, target))
         http = httpcore.AsyncHTTP11Connection(origin=origin, stream=stream)
-        return Ok(Connection(http=http, address=address, is_new=True))
+        self.opened_count += 1
+        return Ok(
+            Connection(
+                http=http, address=address, is_new=True, number=self.opened_count
+            )
+        )
 
 
 @dataclass(kw_only=True, eq=False)
