Limit the bytes of requests and responses that a gateway holds

Cause: a response may have 4 MiB, an event 1 MiB and a body what the configuration allows, but nothing bounded their sum. Parts of a body stayed in memory after the dispatch had ended, as exceptions keep the frames that hold them until the next garbage collection; buffers that grow beside each other left holes; ten parts of 64 KiB a request were read ahead.

Change: requests and responses have a budget each, a share of what the memory limit leaves. A body without room is read to its end, not kept, and refused with 503: it has not run. A response may grow at the expense of the largest one, whose request ends with 502; the largest one does not grow. Parts are dropped with their dispatch. The limit comes from the platform's settings (memory_limit_mb), gateway_held_bytes shows the use.

--- a/pistachiohaven/components/gateway/_app.py
+++ b/pistachiohaven/components/gateway/_app.py
@@ -8,6 +8,7 @@
 from result import Err
 
 from pistachiohaven import platform
+from pistachiohaven.components.memory import Holding
 from pistachiohaven.components.web import (
     BodyError,
     Receive,
@@ -43,6 +44,7 @@
 _BODY_ERRORS = {
     BodyError.TOO_LARGE: (TOO_LARGE, Reason.BODY_TOO_LARGE),
     BodyError.TOO_SLOW: (REQUEST_TIMEOUT, Reason.SLOW_SENDER),
+    BodyError.NO_MEMORY: (UNAVAILABLE, Reason.NO_MEMORY),
 }
 
 
@@ -115,11 +117,13 @@
             receive,
             limit_bytes=MAX_REFUSED_BODY_BYTES,
             timeout_ms=REFUSED_BODY_TIMEOUT_MS,
+            may_hold=lambda _: False,
         )
         if isinstance(body, Err):
             if body.err_value is BodyError.LEFT:
                 return
-            response.close_connection()
+            if body.err_value is not BodyError.NO_MEMORY:
+                response.close_connection()
         attempt_id = platform.find_attempt_id(scope["headers"])
         retry_after_ms = (
             NO_CONFIG_RETRY_AFTER_MS
@@ -130,6 +134,16 @@
 
     async def _handle_call(
         self, call: Call, response: ResponseWriter, receive: Receive
+    ) -> None:
+        """Read the body and handle the request, as far as there is memory for it."""
+        holding = self._state.request_bytes.open()
+        try:
+            await self._handle_held_call(call, response, receive, holding)
+        finally:
+            holding.close()
+
+    async def _handle_held_call(
+        self, call: Call, response: ResponseWriter, receive: Receive, holding: Holding
     ) -> None:
         """Read the body and handle the request unless the caller disconnects."""
         state = self._state
@@ -139,6 +153,7 @@
             receive,
             limit_bytes=limits.max_body_bytes,
             timeout_ms=limits.header_timeout_ms,
+            may_hold=holding.resize,
         )
         if isinstance(body, Err):
             if body.err_value is BodyError.LEFT:
@@ -275,6 +290,12 @@
 
     async def _send_metrics(self, send: Send) -> None:
         metrics = self._state.metrics
+        for kind, budget in (
+            ("request", self._state.request_bytes),
+            ("response", self._state.response_bytes),
+        ):
+            metrics.held_bytes.labels(kind).set(budget.held_bytes)
+            metrics.held_bytes_limit.labels(kind).set(budget.limit_bytes)
         metrics.waiting.set(self._state.scheduler.waiting())
         metrics.connections_opened.set(self._pool.opened_count)
         if self._log_lines is not None:
--- a/pistachiohaven/components/gateway/_dispatch.py
+++ b/pistachiohaven/components/gateway/_dispatch.py
@@ -8,6 +8,7 @@
 
 from pistachiohaven import platform
 from pistachiohaven.components.fleet import RequestKind
+from pistachiohaven.components.memory import Holding
 from pistachiohaven.components.placement import TargetLoad
 from pistachiohaven.components.quarantine import PROOF_AGE_MS
 from pistachiohaven.components.retry import Failure
@@ -136,7 +137,8 @@
     target to another one now. `on_first_event`
     is called before the first event is forwarded. `used_connections` has the numbers of
     the connections on which the request was sent before: a late response to it there
-    can't be told from the one to come. `is_sent` turns True when sending of
+    can't be told from the one to come. `holding` has the bytes of the response that are
+    not sent yet. `is_sent` turns True when sending of
     the request begins. `is_proof` turns True, and `on_proof` is called, once the
     response has gone on for long enough to show that it does not crash the target.
     """
@@ -150,6 +152,7 @@
         load: TargetLoad,
         pool: ConnectionPool,
         used_connections: set[int],
+        holding: Holding,
         sink: StreamSink,
         admit: Callable[[], str | None],
         may_move: Callable[[Failure], bool],
@@ -164,6 +167,7 @@
         self._load = load
         self._pool = pool
         self._used_connections = used_connections
+        self._holding = holding
         self._clock: Clock = state.clock
         self._sink = sink
         self._stall_monitor = state.stall_monitor
@@ -179,6 +183,7 @@
             log=state.log,
         )
         self._splitter = EventSplitter()
+        self._chunks: list[bytes] = []
         self._filter = EventFilter(last_event_id=sink.last_event_id)
         self._event_count = 0
         self._is_connection_released = False
@@ -228,6 +233,10 @@
             self._load.record_cancelled(request_id, now_ms=self._clock.now_ms())
             await self._pool.close(connection)
             raise
+        finally:
+            # An exception keeps this object alive until the next garbage collection.
+            self._chunks.clear()
+            self._splitter.clear()
         if not self._is_connection_released:
             await self._pool.close(connection)
         self._record_result(result)
@@ -336,18 +345,20 @@
         self, connection: Connection, head: ResponseHead
     ) -> DispatchResult:
         """Read a response that is not a stream."""
-        chunks: list[bytes] = []
         size_bytes = 0
         async for chunk in iter_body(head.response):
             size_bytes += len(chunk)
+            if not self._holding.resize(size_bytes):
+                return self._out_of_memory()
             if size_bytes > MAX_RESPONSE_BYTES:
                 return FailedDispatch(
                     failure=Failure.NO_ANSWER,
                     detail="answer too large",
                     has_responded=True,
                 )
-            chunks.append(chunk)
-        body = b"".join(chunks)
+            self._chunks.append(chunk)
+        body = b"".join(self._chunks)
+        self._chunks.clear()
         is_rejected = platform.never_ran(head.status, head.headers)
         cut = None if is_rejected else self._find_cut(connection, head, body)
         if cut is not None:
@@ -407,6 +418,8 @@
                     detail=str(error),
                     has_responded=True,
                 )
+            if not self._holding.resize(self._splitter.buffered_bytes):
+                return self._out_of_memory()
             if new_events:
                 self._stall_detector.disarm()
             if events:
@@ -504,6 +517,14 @@
         )
         return Failure.BROKEN if has_response_started else Failure.NO_ANSWER
 
+    def _out_of_memory(self) -> FailedDispatch:
+        """Return the result of an exchange for whose response there is no memory."""
+        return FailedDispatch(
+            failure=self._interruption_failure(),
+            detail="no memory",
+            has_responded=True,
+        )
+
     def _merged(self) -> FailedDispatch:
         """Return the result of an exchange whose content holds a second response."""
         return FailedDispatch(
--- a/pistachiohaven/components/gateway/_events.py
+++ b/pistachiohaven/components/gateway/_events.py
@@ -10,6 +10,7 @@
     MAX_EVENT_BYTES,
     MAX_REPEATED_EVENTS,
     MAX_UNNUMBERED_BYTES,
+    MIN_PART_BYTES,
 )
 
 _DELIMITER = b"\n\n"
@@ -24,30 +25,45 @@
 
 
 class EventSplitter:
-    """Incremental parser that splits a stream at the blank lines between events."""
+    """Incremental parser that splits a stream at the blank lines between events.
+
+    `buffered_bytes` is the size of the incomplete event. It is kept in parts: many
+    buffers that grow at the same time would leave holes in the memory of the process.
+    """
 
     def __init__(self) -> None:
-        self._buffer = bytearray()
+        self._parts: list[bytes] = []
+        self.buffered_bytes = 0
 
     @property
     def has_partial_event(self) -> bool:
         """Return True if the stream stopped within an event."""
-        return bool(self._buffer)
+        return bool(self._parts)
+
+    def clear(self) -> None:
+        """Drop the incomplete event."""
+        self._parts.clear()
+        self.buffered_bytes = 0
 
     def feed(self, chunk: bytes) -> list[Event]:
         """Return the events that `chunk` completes.
 
         Raises ValueError if an event grows past `MAX_EVENT_BYTES`.
         """
+        complete_events: list[bytes] = []
         # The delimiter may begin with the last byte of the previous chunk.
-        search_from = max(len(self._buffer) - 1, 0)
-        self._buffer += chunk
-        if self._buffer.find(_DELIMITER, search_from) >= 0:
-            *complete_events, rest = bytes(self._buffer).split(_DELIMITER)
-            self._buffer = bytearray(rest)
-        else:
-            complete_events = []
-        if len(self._buffer) > MAX_EVENT_BYTES:
+        last_byte = self._parts[-1][-1:] if self._parts else b""
+        if _DELIMITER in last_byte + chunk:
+            *complete_events, rest = b"".join([*self._parts, chunk]).split(_DELIMITER)
+            self._parts = [rest] if rest else []
+            self.buffered_bytes = len(rest)
+        elif chunk:
+            if self._parts and len(self._parts[-1]) < MIN_PART_BYTES:
+                self._parts[-1] += chunk
+            else:
+                self._parts.append(chunk)
+            self.buffered_bytes += len(chunk)
+        if self.buffered_bytes > MAX_EVENT_BYTES:
             raise ValueError("event too large")
         return [
             Event(data=event + _DELIMITER, event_id=_find_id(event))
--- a/pistachiohaven/components/gateway/_metrics.py
+++ b/pistachiohaven/components/gateway/_metrics.py
@@ -23,6 +23,18 @@
             ["pool", "end"],
             registry=self.registry,
         )
+        self.held_bytes = Gauge(
+            "gateway_held_bytes",
+            "Bytes of bodies that the gateway holds",
+            ["kind"],
+            registry=self.registry,
+        )
+        self.held_bytes_limit = Gauge(
+            "gateway_held_bytes_limit",
+            "Largest number of bytes of bodies that the gateway holds",
+            ["kind"],
+            registry=self.registry,
+        )
         self.crashes_not_counted = Counter(
             "gateway_crashes_not_counted",
             "Requests broken by a crash that is no evidence against their parts",
--- a/pistachiohaven/components/gateway/_request.py
+++ b/pistachiohaven/components/gateway/_request.py
@@ -5,6 +5,7 @@
 import trio
 
 from pistachiohaven.components.exchange import short_hash
+from pistachiohaven.components.memory import Holding
 from pistachiohaven.components.placement import (
     Job,
     Placement,
@@ -78,6 +79,7 @@
         self._response = response
         self._job: Job = call.job()
         self._used_connections: set[int] = set()
+        self._holdings: list[Holding] = []
         self._possible_runs = 0
         self._sent_count = 0
         self._quota_charged_ms: int | None = None
@@ -115,6 +117,8 @@
                 await self._run_in_time()
         finally:
             state.requests.discard(self)
+            for holding in self._holdings:
+                holding.close()
         if wait_ms is not None:
             self._log_over_quota(wait_ms)
             await self._send_refusal(TOO_MANY_REQUESTS, Reason.OVER_QUOTA, wait_ms)
@@ -130,10 +134,15 @@
             self._release_permits()
             self._refund_quota()
         if self._scope.cancelled_caught:
-            is_late = state.clock.now_ms() >= call.deadline_ms - DEADLINE_MARGIN_MS
-            await self._respond_without_target(
-                Reason.DEADLINE if is_late else Reason.DRAINING
-            )
+            await self._respond_without_target(self._end_reason())
+
+    def _end_reason(self) -> Reason:
+        """Return why the request was ended before it had a response."""
+        if any(holding.is_revoked for holding in self._holdings):
+            return Reason.NO_MEMORY
+        end_ms = self._call.deadline_ms - DEADLINE_MARGIN_MS
+        is_late = self._state.clock.now_ms() >= end_ms
+        return Reason.DEADLINE if is_late else Reason.DRAINING
 
     def end_by(self, end_ms: int) -> None:
         """End the request by the monotonic time `end_ms`, also while it waits."""
@@ -348,6 +357,8 @@
         state = self._state
         now_ms = state.clock.now_ms()
         self.version = load.target.version
+        holding = state.response_bytes.open(self._scope.cancel)
+        self._holdings.append(holding)
         dispatch = Dispatch(
             state=state,
             call=self._call,
@@ -355,6 +366,7 @@
             load=load,
             pool=self._pool,
             used_connections=self._used_connections,
+            holding=holding,
             sink=self._response,
             admit=partial(self._admit, load, is_hedge=is_hedge),
             may_move=partial(self._may_move, load.target.name),
@@ -368,9 +380,14 @@
         state.crash_link.record_dispatch(self._call.part_hashes, load)
         try:
             result = await dispatch.run()
+        except BaseException:
+            holding.close()
+            raise
         finally:
             if not dispatch.is_sent:
                 self._possible_runs -= 1
+        if isinstance(result, FailedDispatch) and result.response is None:
+            holding.close()
         state.placer.schedule_waiting()
         if dispatch.is_sent:
             self._sent_count += 1
--- a/pistachiohaven/components/gateway/_state.py
+++ b/pistachiohaven/components/gateway/_state.py
@@ -29,6 +29,11 @@
     TargetList,
 )
 from pistachiohaven.components.hedge import HedgePolicy, HedgeTerms
+from pistachiohaven.components.memory import (
+    ByteBudget,
+    budget_bytes,
+    read_resident_bytes,
+)
 from pistachiohaven.components.notice import (
     SOURCE_TARGET,
     LeavingNotice,
@@ -69,7 +74,8 @@
     `last_store_response_ms`, `complete_until_ms` and `draining_since_ms` are monotonic
     times. The first two are None before the first response, the last until the gateway
     drains. All changes that the store confirmed before `complete_until_ms` are applied.
-    `requests` are those in progress, which end at `drain_end_ms` at the latest once the
+    `request_bytes` and `response_bytes` limit what is held of bodies. `requests` are
+    those in progress, which end at `drain_end_ms` at the latest once the
     gateway drains.
     `removed_addresses` lists removed and leaving targets whose idle connections are
     still to be closed. `on_taken_back` is called with the name of each target of a data
@@ -156,6 +162,12 @@
                 target, now_ms=clock.now_ms()
             ),
         )
+        self._used_bytes = read_resident_bytes()
+        limit_bytes = budget_bytes(
+            settings.memory_limit_mb, used_bytes=self._used_bytes
+        )
+        self.request_bytes = ByteBudget(limit_bytes=limit_bytes)
+        self.response_bytes = ByteBudget(limit_bytes=limit_bytes)
         self.last_store_response_ms: int | None = None
         self.complete_until_ms: int | None = None
         self.certain_until_ms: int | None = None
@@ -181,6 +193,11 @@
         )
         self.scheduler.set_regions(settings.regions)
         self.cold_targets.set_tolerance(_cold_tolerance(self.settings))
+        limit_bytes = budget_bytes(
+            settings.memory_limit_mb, used_bytes=self._used_bytes
+        )
+        self.request_bytes.limit_bytes = limit_bytes
+        self.response_bytes.limit_bytes = limit_bytes
         for budget in self._retry_budgets.values():
             budget.configure(_retry_terms(self.settings), now_ms=self.clock.now_ms())
         self.hedge_policy.configure(_hedge_terms(settings))
--- a/pistachiohaven/components/gateway/const.py
+++ b/pistachiohaven/components/gateway/const.py
@@ -64,6 +64,9 @@
 MAX_EVENT_BYTES: Final = 1_048_576
 """Largest incomplete event that is buffered."""
 
+MIN_PART_BYTES: Final = 4_096
+"""Size from which a part of an incomplete event is kept without more being added."""
+
 MAX_REPEATED_EVENTS: Final = 1_024
 """Events in a row that the caller already has, after which a stream is given up."""
 
--- a/pistachiohaven/components/web/_asgi.py
+++ b/pistachiohaven/components/web/_asgi.py
@@ -30,6 +30,9 @@
     TOO_SLOW = "too_slow"
     """The body did not arrive completely within the timeout of the read."""
 
+    NO_MEMORY = "no_memory"
+    """There was no room for the body; all of it was read."""
+
     LEFT = "left"
     """The caller closed the connection."""
 
@@ -69,14 +72,21 @@
 
 
 async def read_body(
-    receive: Receive, *, limit_bytes: int, timeout_ms: int
+    receive: Receive,
+    *,
+    limit_bytes: int,
+    timeout_ms: int,
+    may_hold: Callable[[int], bool] = lambda _: True,
 ) -> Result[bytes, BodyError]:
     """Return the complete body, or why it could not be read.
 
-    The body may have at most `limit_bytes` and may take `timeout_ms` to arrive.
+    The body may have at most `limit_bytes` and may take `timeout_ms` to arrive. Once
+    `may_hold` returns False for the bytes read so far, it is read without being kept,
+    and `may_hold` is called with 0.
     """
     chunks: list[bytes] = []
     size_bytes = 0
+    is_kept = True
     with trio.move_on_after(timeout_ms / MS_PER_S):
         while True:
             message = await receive()
@@ -86,9 +96,14 @@
             size_bytes += len(chunk)
             if size_bytes > limit_bytes:
                 return Err(BodyError.TOO_LARGE)
-            chunks.append(chunk)
+            if is_kept and may_hold(size_bytes):
+                chunks.append(chunk)
+            elif is_kept:
+                is_kept = False
+                chunks.clear()
+                may_hold(0)
             if not message.get("more_body", False):
-                return Ok(b"".join(chunks))
+                return Ok(b"".join(chunks)) if is_kept else Err(BodyError.NO_MEMORY)
     return Err(BodyError.TOO_SLOW)
 
 
--- a/pistachiohaven/components/web/_serve.py
+++ b/pistachiohaven/components/web/_serve.py
@@ -18,6 +18,7 @@
     KEEP_ALIVE_S,
     MAX_HEADER_BYTES,
     MAX_KEEP_ALIVE_REQUESTS,
+    MAX_QUEUED_PARTS,
     SHUTDOWN_GRACE_S,
 )
 
@@ -158,6 +159,7 @@
     config.loglevel = "WARNING"
     config.keep_alive_max_requests = MAX_KEEP_ALIVE_REQUESTS
     config.include_server_header = False
+    config.max_app_queue_size = MAX_QUEUED_PARTS
     return config
 
 
--- a/pistachiohaven/components/web/const.py
+++ b/pistachiohaven/components/web/const.py
@@ -22,6 +22,9 @@
 MAX_HEADER_BYTES: Final = 16_384
 """Largest total size of the request line and the headers."""
 
+MAX_QUEUED_PARTS: Final = 2
+"""Parts of a request's body that the server reads ahead; each has up to 64 KiB."""
+
 MAX_KEEP_ALIVE_REQUESTS: Final = 1_000_000
 """Requests after which a connection is closed."""
 
@@ -73,6 +76,9 @@
 All interim responses among them are parsed before other requests continue.
 """
 
+BODY_READ_BYTES: Final = 16_384
+"""Bytes of a body read at once; each of them is in several buffers for a moment."""
+
 HAS_CALLER_LEFT: Final = "has_caller_left"
 """Key of the connection's state in an ASGI scope; see `has_caller_left`."""
 
--- a/pistachiohaven/config.py
+++ b/pistachiohaven/config.py
@@ -76,7 +76,9 @@
     share `hedge_percentile` of 100 of those of its route, and `hedge_min_delay_ms`.
 
     `regions` has the region of each data centre. With `hands_over_slots`, peers offer
-    this gateway the slots that they free for its waiting requests.
+    this gateway the slots that they free for its waiting requests. `memory_limit_mb` is
+    the memory in MB (1,000,000 bytes) beyond which the process is ended, None if that
+    is not known.
     """
 
     model_config = ConfigDict(extra="ignore", frozen=True)
@@ -102,6 +104,7 @@
     hedge_min_delay_ms: int = Field(default=10, ge=1, le=60_000)
     hedge_window_s: float = Field(default=60.0, ge=1.0, le=600.0)
     hands_over_slots: bool = False
+    memory_limit_mb: float | None = Field(default=None, gt=0.0)
     region: str = ""
     regions: dict[str, str] = {}
 
--- a/pistachiohaven/core.py
+++ b/pistachiohaven/core.py
@@ -54,6 +54,9 @@
     SLOW_SENDER = "slow_sender"
     """The body did not arrive within its time limit."""
 
+    NO_MEMORY = "no_memory"
+    """The process holds too many bytes of requests or responses."""
+
     UNKNOWN_LEAF = "unknown_leaf"
     """The settings have no such organisation, application and tier."""
 
--- /dev/null
+++ b/tests/components/memory/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of the memory component."""
