Let a response end while its request has unread parts

A caller whose body was refused early (too large, too slow, no memory) could wait for ever on its connection, and the gateway kept the connection, a task and a descriptor.

Cause: as a part of sending the last part of a response, hypercorn tells the application that the connection is closed, and waits for room among the unread parts of the request. Only the application can make room, and it waits for the response to be sent. Ten unread parts of 64 KiB are enough; with two it is likely beside load.

Change: while the last part of a response is sent, the rest of a request that has not been read whole is read and dropped, for all servers.

--- a/pistachiohaven/components/web/_asgi.py
+++ b/pistachiohaven/components/web/_asgi.py
@@ -71,6 +71,43 @@
         )
 
 
+class RequestReader:
+    """Reader of one request, whose rest is discarded while a response ends.
+
+    The server tells the application that the connection is closed as a part of sending
+    the last part of a response. It waits for room among the parts of the request that
+    the application has not read, which only the application can make.
+    """
+
+    def __init__(self, receive: Receive) -> None:
+        self._receive = receive
+        self._has_read_all = False
+
+    async def receive(self) -> Message:
+        """Return the next part of the request."""
+        message = await self._receive()
+        if not message.get("more_body", False):
+            self._has_read_all = True
+        return message
+
+    async def send(self, send: Send, message: Message) -> None:
+        """Pass `message` to `send`."""
+        is_last = message["type"] == "http.response.body" and not message.get(
+            "more_body", False
+        )
+        if self._has_read_all or not is_last:
+            await send(message)
+            return
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(self._discard)
+            await send(message)
+            nursery.cancel_scope.cancel()
+
+    async def _discard(self) -> None:
+        while not self._has_read_all:
+            await self.receive()
+
+
 async def read_body(
     receive: Receive,
     *,
--- a/pistachiohaven/components/web/_serve.py
+++ b/pistachiohaven/components/web/_serve.py
@@ -11,7 +11,7 @@
 
 from pistachiohaven.helpers import ComponentLogger
 
-from ._asgi import App, Receive, Scope, Send
+from ._asgi import App, Receive, RequestReader, Scope, Send
 from ._connection import ServerConnection
 from .const import (
     BACKLOG,
@@ -142,8 +142,9 @@
         """Pass HTTP requests to `app`, and log the errors that it raises."""
         if scope["type"] != "http":
             return
+        request = RequestReader(receive)
         try:
-            await app(scope, receive, send)
+            await app(scope, request.receive, partial(request.send, send))
         except Exception as error:
             self._log.info(
                 "request_failed",
