Read bodies as before, and copy less of events in tiny chunks

Two tests of test_endless_responses.py failed on: bodies were read 16 KiB at once, which splits chunks of the target (3,002 instead of 3,000), and parts of events were joined up to 4 KiB, so an event in chunks of 64 bytes was copied 33 times over (16 allowed).

Change: reads of bodies are not limited, parts are joined up to 512 bytes.

Measured: the 37 tests of the file pass.

--- a/pistachiohaven/components/gateway/const.py
+++ b/pistachiohaven/components/gateway/const.py
@@ -64,7 +64,7 @@
 MAX_EVENT_BYTES: Final = 1_048_576
 """Largest incomplete event that is buffered."""
 
-MIN_PART_BYTES: Final = 4_096
+MIN_PART_BYTES: Final = 512
 """Size from which a part of an incomplete event is kept without more being added."""
 
 MAX_REPEATED_EVENTS: Final = 1_024
--- a/pistachiohaven/components/web/_metered.py
+++ b/pistachiohaven/components/web/_metered.py
@@ -18,7 +18,6 @@
 from ._integrity import find_fault
 from .const import (
     BODILESS_STATUSES,
-    BODY_READ_BYTES,
     HEAD_READ_BYTES,
     MAX_CONTENT_BYTES,
     MAX_FRAMING_BYTES,
@@ -101,7 +100,7 @@
     def begin_body(self) -> None:
         """End the limit on the head, which is complete."""
         self._left_bytes = _NO_LIMIT
-        self._max_read_bytes = BODY_READ_BYTES
+        self._max_read_bytes = _NO_LIMIT
         self.body_bytes = 0
 
     async def read(self, max_bytes: int, timeout: float | None = None) -> bytes:
--- a/pistachiohaven/components/web/const.py
+++ b/pistachiohaven/components/web/const.py
@@ -76,9 +76,6 @@
 All interim responses among them are parsed before other requests continue.
 """
 
-BODY_READ_BYTES: Final = 16_384
-"""Bytes of a body read at once; each of them is in several buffers for a moment."""
-
 HAS_CALLER_LEFT: Final = "has_caller_left"
 """Key of the connection's state in an ASGI scope; see `has_caller_left`."""
 
