--- a/tests/components/gateway/test_leaving_target.py
+++ b/tests/components/gateway/test_leaving_target.py
@@ -1,6 +1,7 @@
 """Targets that had said that they leave got further requests."""
 
 import json
+from typing import Any
 
 import pytest
 import trio
@@ -186,11 +187,13 @@
     addresses: list[str] = []
     may_connect = trio.Event()
 
-    async def connect_late(self: ConnectionPool, address: str) -> object:
+    async def connect_late(
+        self: ConnectionPool, address: str, **options: Any
+    ) -> object:
         addresses.append(address)
         if len(addresses) > 1:
             await may_connect.wait()
-        return await connect(self, address)
+        return await connect(self, address, **options)
 
     @with_harness(targets=1)
     async def run(harness: GatewayHarness) -> None:
