--- a/review/stand_ins_2/fleet.py
+++ b/review/stand_ins_2/fleet.py
@@ -165,11 +165,14 @@
 class Fleet:
     """Store and gateways of one case; leaving it ends all processes."""
 
-    def __init__(self, *, gateways: int, seeds: int = 3) -> None:
+    def __init__(
+        self, *, gateways: int, seeds: int = 3, stale_seeds: tuple[str, ...] = ()
+    ) -> None:
         self._folder = tempfile.TemporaryDirectory()
         self.folder = Path(self._folder.name)
         self._hosts = [f"127.0.0.{11 + number}" for number in range(gateways)]
-        self._seeds = self._hosts[:seeds]
+        self._seeds = [*self._hosts[:seeds], *stale_seeds]
+        self._stale_seeds = stale_seeds
         self.store = Store()
         self.gateways: list[Gateway] = []
         self.processes: list[subprocess.Popen[bytes]] = []
@@ -177,7 +180,7 @@
     async def __aenter__(self) -> "Fleet":
         """Start the store and create the gateways."""
         await self.store.start("127.0.0.1")
-        ports = free_ports(self._hosts, 4)
+        ports = free_ports([*self._hosts, *self._stale_seeds], 4)
         self.gateways = [
             Gateway(
                 host=host,
