--- a/review/stand_ins_2/fleet.py
+++ b/review/stand_ins_2/fleet.py
@@ -166,11 +166,18 @@
     """Store and gateways of one case; leaving it ends all processes."""
 
     def __init__(
-        self, *, gateways: int, seeds: int = 3, stale_seeds: tuple[str, ...] = ()
+        self,
+        *,
+        gateways: int,
+        seeds: int = 3,
+        stale_seeds: tuple[str, ...] = (),
+        first_host: int = 11,
+        ports: list[int] | None = None,
     ) -> None:
         self._folder = tempfile.TemporaryDirectory()
         self.folder = Path(self._folder.name)
-        self._hosts = [f"127.0.0.{11 + number}" for number in range(gateways)]
+        self._hosts = [f"127.0.0.{first_host + number}" for number in range(gateways)]
+        self.ports = ports or []
         self._seeds = [*self._hosts[:seeds], *stale_seeds]
         self._stale_seeds = stale_seeds
         self.store = Store()
@@ -180,11 +187,12 @@
     async def __aenter__(self) -> "Fleet":
         """Start the store and create the gateways."""
         await self.store.start("127.0.0.1")
-        ports = free_ports([*self._hosts, *self._stale_seeds], 4)
+        if not self.ports:
+            self.ports = free_ports([*self._hosts, *self._stale_seeds], 4)
         self.gateways = [
             Gateway(
                 host=host,
-                ports=ports,
+                ports=self.ports,
                 seeds=self._seeds,
                 store=self.store.address,
                 folder=self.folder,
