--- a/review/stand_ins_2/fleet.py
+++ b/review/stand_ins_2/fleet.py
@@ -17,7 +17,7 @@
 from store import Store
 
 ROOT = Path(__file__).resolve().parents[2]
-HOLDS, BROKEN, NOT_RUN = 0, 1, 2
+HOLDS, NOT_RUN, BROKEN = 0, 2, 11
 READY_WITHIN_S = 20.0
 OK = 200
 
@@ -309,14 +309,18 @@
 
 
 def run_case(folder: Path, case: Callable[[Record, bool], Awaitable[bool]]) -> int:
-    """Run `case`, which returns True if the rule was broken; return the exit status."""
+    """Run `case`, which returns True if the rule was broken; return the exit status.
+
+    That of a broken rule differs from Python's own for an error, 1.
+    """
     record = Record(folder / "record.txt")
     has_trouble = os.environ.get("TROUBLE", "1") != "0"
     record.add("case", trouble=has_trouble)
     try:
         is_broken = asyncio.run(case(record, has_trouble))
-    except (CaseError, OSError, TimeoutError) as error:
-        record.add("not run", error=json.dumps(str(error)))
+    except Exception as error:
+        # Whatever stops the case says nothing about the rule.
+        record.add("not run", error=json.dumps(repr(error)))
         return NOT_RUN
     record.add("end", broken=is_broken)
     return BROKEN if is_broken else HOLDS
