--- a/review/stand_ins_2/store.py
+++ b/review/stand_ins_2/store.py
@@ -23,6 +23,7 @@
         self.address = ""
         self._changed = asyncio.Event()
         self._server: asyncio.Server | None = None
+        self._silences = 0
 
     async def start(self, host: str) -> None:
         """Listen on a free port of `host`."""
@@ -45,6 +46,10 @@
         del self.items[key]
         self._publish({"key": key, "revision": self.revision, "deleted": True})
 
+    def silence(self) -> None:
+        """Let all connections that are open now go silent; new ones work."""
+        self._silences += 1
+
     def _publish(self, event: dict[str, Any]) -> None:
         self.events.append(event)
         self._changed.set()
@@ -53,10 +58,13 @@
     async def _serve(
         self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
     ) -> None:
+        silences = self._silences
         try:
             while (request := await read_head(reader)) is not None:
                 await read_body(reader, request)
                 status, content = await self._answer(request.target)
+                if silences != self._silences:
+                    continue
                 body = json.dumps({**content, "at": self.revision}).encode()
                 headers = {"Content-Type": "application/json"}
                 writer.write(encode(f"HTTP/1.1 {status} X", headers, body))
