--- a/review/10/case.py
+++ b/review/10/case.py
@@ -1,4 +1,4 @@
-"""Connections to the store that go silent, just before a route is dropped."""
+"""Connections to the store that go silent, just before a worker is removed."""
 
 import asyncio
 import sys
@@ -8,57 +8,55 @@
 from fleet import Fleet, Record, call_headers, make_config, run_case
 from http_text import encode, read_body, read_head
 
+WORKERS = 3
+CLIENTS_EACH = 8
 SETTLE_S = 5.0
-CONFIG_APPLY_S = 2.0
+DRAIN_S = 2.0
 STABLE_S = 3.0
-WATCHED_S = 6.0
-GAP_S = 0.02
 MARGIN_S = 0.05
-OK = 200
-
-
-async def call(
-    address: tuple[str, int], attempt_id: str, target: str, **extra: str
-) -> int:
-    """Send one request on a new connection; return the status, 0 without one."""
-    reader, writer = await asyncio.open_connection(*address)
-    writer.write(
-        encode(f"POST {target} HTTP/1.1", call_headers(attempt_id, **extra), b"body")
-    )
-    answer = await read_head(reader)
-    if answer is not None:
-        await read_body(reader, answer)
-    writer.close()
-    return 0 if answer is None else answer.status
+SERVES_ON_S = 8.0
+GAP_S = 0.02
+LEAVING = "i-0"
 
 
 async def client(
     record: Record, address: tuple[str, int], number: int, end_s: float
-) -> list[tuple[str, float, int]]:
-    """Send requests on the dropped route; return ids, times of sending, statuses."""
+) -> list[tuple[str, float]]:
+    """Send requests one after the other; return their ids and when they were sent."""
     sent = []
+    reader, writer = await asyncio.open_connection(*address)
     while time.monotonic() < end_s:
         attempt_id = f"{number:04x}{len(sent):012x}"
-        at_s = time.monotonic()
+        sent.append((attempt_id, time.monotonic()))
         record.add("sent", id=attempt_id, gateway=address[0])
-        status = await call(address, attempt_id, "/repeat/x")
-        record.add("answered", id=attempt_id, status=status)
-        sent.append((attempt_id, at_s, status))
+        writer.write(
+            encode("POST /repeat/x HTTP/1.1", call_headers(attempt_id), b"body")
+        )
+        answer = await read_head(reader)
+        if answer is None:
+            record.add("no answer", id=attempt_id)
+            reader, writer = await asyncio.open_connection(*address)
+            continue
+        await read_body(reader, answer)
+        stamp = answer.headers.get("pistachiohaven-server-stamp")
+        record.add("answered", id=attempt_id, status=answer.status, stamp=stamp)
         await asyncio.sleep(GAP_S)
+    writer.close()
     return sent
 
 
 async def case(record: Record, has_trouble: bool) -> bool:
-    """Return True if machines in touch run requests on a route dropped long before."""
-    routes = {"repeat": "portal", "stream": "portal"}
+    """Return True if a worker that has left got a request too late."""
     async with Fleet(gateways=2) as fleet:
-        log = fleet.folder / "workers.log"
-        fleet.store.put("op/config", make_config(4, routes))
-        options = ["--pieces", "2", "--gap_ms", "10", "--log", str(log)]
-        address, _ = await fleet.start_worker("--id", "i-0", *options)
-        fleet.store.put(
-            "servers/i-0",
-            {
+        fleet.store.put("op/config", make_config(4, {"repeat": "portal"}))
+        logs = {}
+        entries = {}
+        for number in range(WORKERS):
+            name = f"i-{number}"
+            logs[name] = fleet.folder / f"{name}.log"
+            options = ["--pieces", "1", "--gap_ms", "150", "--log", str(logs[name])]
+            address, _ = await fleet.start_worker("--id", name, *options)
+            entries[name] = {
                 "service": "portal",
                 "address": address,
                 "zone": "zone-a",
@@ -68,45 +66,47 @@
                 "coldRemainingMs": 0,
                 "sequence": 1,
                 "born": 1_700_000_000_000,
-            },
-        )
+            }
+            fleet.store.put(f"servers/{name}", entries[name])
         await fleet.start_gateways()
-        addresses = [(gateway.host, gateway.port) for gateway in fleet.gateways]
-        await asyncio.sleep(SETTLE_S / 2)
-        # A stream is taken up at each gateway, as clients may at any time.
-        for number, each in enumerate(addresses):
-            status = await call(
-                each, f"f{number:015x}", "/stream/x", **{"Last-Event-Id": "1"}
+        await asyncio.sleep(SETTLE_S)
+        end_s = time.monotonic() + 1.0 + SERVES_ON_S
+        tasks = [
+            asyncio.create_task(
+                client(record, (gateway.host, gateway.port), number, end_s)
             )
-            record.add("stream taken up", gateway=each[0], status=status)
-        await asyncio.sleep(SETTLE_S / 2)
+            for number, gateway in enumerate(fleet.gateways * CLIENTS_EACH)
+        ]
+        await asyncio.sleep(1.0)
         for version in (5, 6):
-            fleet.store.put("op/config", make_config(version, routes))
+            fleet.store.put("op/config", make_config(version, {"repeat": "portal"}))
             record.add("acknowledged", version=version)
             await asyncio.sleep(2 * MARGIN_S)
+        silent_s = time.monotonic()
         if has_trouble:
             fleet.store.silence()
             record.add("connections to the store go silent")
-        silent_s = time.monotonic()
         await asyncio.sleep(MARGIN_S)
-        fleet.store.put("op/config", make_config(7, {"stream": "portal"}))
-        dropped_s = time.monotonic()
-        record.add("acknowledged", version=7, dropped="/repeat/")
-        tasks = [
-            asyncio.create_task(client(record, each, number, silent_s + WATCHED_S))
-            for number, each in enumerate(addresses)
-        ]
-        sent = [one for each in await asyncio.gather(*tasks) for one in each]
-        bound_s = max(silent_s + STABLE_S, dropped_s + CONFIG_APPLY_S) + MARGIN_S
-        ran = log.read_text(encoding="utf-8")
-        late = [
-            (attempt_id, at_s)
-            for attempt_id, at_s, status in sent
-            if at_s > bound_s and status == OK and f"runs {attempt_id}" in ran
-        ]
-        last_s = max((at_s for _, at_s, status in sent if status == OK), default=0.0)
-        record.add("last run", after_silence_s=f"{last_s - silent_s:.3f}")
-        record.add("run later than the bound", requests=len(late))
+        fleet.store.delete(f"servers/{LEAVING}")
+        removed_s = time.monotonic()
+        record.add("removed", worker=LEAVING)
+        sent = {
+            attempt_id: at_s
+            for each in await asyncio.gather(*tasks)
+            for attempt_id, at_s in each
+        }
+        bound_s = max(silent_s + STABLE_S, removed_s + DRAIN_S) + MARGIN_S
+        late = []
+        last_s = removed_s
+        for line in logs[LEAVING].read_text(encoding="utf-8").splitlines():
+            at_s, event, attempt_id = line.split(" ")
+            record.add("worker", name=LEAVING, line=line)
+            if event == "runs":
+                last_s = float(at_s)
+                if last_s > bound_s and sent[attempt_id] > bound_s:
+                    late.append(attempt_id)
+        record.add("last request", after_removal_s=f"{last_s - removed_s:.3f}")
+        record.add("later than the bound", requests=len(late))
         return bool(late)
 
 
