--- a/review/10/case.py
+++ b/review/10/case.py
@@ -78,10 +78,6 @@
             for number, gateway in enumerate(fleet.gateways * CLIENTS_EACH)
         ]
         await asyncio.sleep(1.0)
-        for version in (5, 6):
-            fleet.store.put("op/config", make_config(version, {"repeat": "portal"}))
-            record.add("acknowledged", version=version)
-            await asyncio.sleep(2 * MARGIN_S)
         silent_s = time.monotonic()
         if has_trouble:
             fleet.store.silence()
