--- a/review/stand_ins_2/fleet.py
+++ b/review/stand_ins_2/fleet.py
@@ -19,6 +19,7 @@
 ROOT = Path(__file__).resolve().parents[2]
 HOLDS, NOT_RUN, BROKEN = 0, 2, 11
 READY_WITHIN_S = 20.0
+CASE_WITHIN_S = 100.0
 OK = 200
 
 
@@ -308,6 +309,15 @@
     }
 
 
+async def _run_in_time(case: Awaitable[bool]) -> bool:
+    """Return the result of `case`; a signal or the time limit ends its processes."""
+    task = asyncio.ensure_future(case)
+    loop = asyncio.get_running_loop()
+    for number in (signal.SIGTERM, signal.SIGINT, signal.SIGHUP):
+        loop.add_signal_handler(number, task.cancel)
+    return await asyncio.wait_for(task, CASE_WITHIN_S)
+
+
 def run_case(folder: Path, case: Callable[[Record, bool], Awaitable[bool]]) -> int:
     """Run `case`, which returns True if the rule was broken; return the exit status.
 
@@ -317,8 +327,8 @@
     has_trouble = os.environ.get("TROUBLE", "1") != "0"
     record.add("case", trouble=has_trouble)
     try:
-        is_broken = asyncio.run(case(record, has_trouble))
-    except Exception as error:
+        is_broken = asyncio.run(_run_in_time(case(record, has_trouble)))
+    except (Exception, asyncio.CancelledError) as error:
         # Whatever stops the case says nothing about the rule.
         record.add("not run", error=json.dumps(repr(error)))
         return NOT_RUN
